--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -334,6 +334,8 @@
   if (accepting_ && since >= kBalancerLag) {
     accepting_ = false;
     callers_.StopAccepting();
+    // A request that came now could not be sure to end within the grace.
+    callers_.CloseIdleConnections();
   }
   const bool idle = !accepting_ && state_.active_requests == 0;
   if (idle || since >= state_.settings.bounds.stop_grace - kStopMargin) {
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -244,6 +244,7 @@
                   {"status", std::to_string(status_)},
                   {"sends", std::to_string(sends_)},
                   {"events", std::to_string(events_)},
+                  {"first_ms", first_byte_ ? Ms(first_byte_after_) : ""},
                   {"took_ms", Ms(Elapsed())}});
 }
 
@@ -252,6 +253,7 @@
     return;
   }
   first_byte_ = true;
+  first_byte_after_ = Elapsed();
   state_.metrics
       .GetHistogram("figwell_first_byte_seconds",
                     telemetry::Label("kind", KindName(route_->kind)))
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -105,6 +105,7 @@
   bool streaming_ = false;
   bool relaying_ = false;
   bool first_byte_ = false;
+  Duration first_byte_after_{0};
   std::optional<std::uint64_t> last_event_;
   std::uint64_t events_ = 0;
   http::EventStreamReader reader_;
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -6,6 +6,7 @@
 using std::chrono::milliseconds;
 using telemetry::Event;
 
+constexpr milliseconds kBackstop{500};
 // How long a request waits for an adapter that is being loaded, and how often
 // it looks. Longer than a round of orders, short beside a latency target.
 constexpr Duration kLongestTargetWait = milliseconds(250);
@@ -124,7 +125,9 @@
   reader_ = {};
   streaming_ = false;
   http::CallLimits limits;
-  limits.head_timeout = std::chrono::duration_cast<milliseconds>(Remaining());
+  // The request's own deadline ends the wait; this is only a backstop.
+  limits.head_timeout =
+      std::chrono::duration_cast<milliseconds>(Remaining()) + kBackstop;
   limits.piece_timeout = limits.head_timeout;
   limits.allow_unframed = true;
   http::ResponseHandlers handlers;
--- a/libs/http/include/figwell/http.h
+++ b/libs/http/include/figwell/http.h
@@ -211,6 +211,9 @@
   /** Makes every answer from now on the last one of its connection. */
   void CloseAfterAnswers();
 
+  /** Closes the connections on which no request is under way. */
+  void CloseIdleConnections();
+
   std::size_t open_connections() const;
 
  private:
--- a/libs/http/src/connection.h
+++ b/libs/http/src/connection.h
@@ -7,18 +7,23 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "figwell/http.h"
 
 namespace figwell::http {
 
+class Connection;
+
 /** What a server's connections share. */
 struct ServerShared {
   ServerLimits limits;
   ServerHandlers handlers;
   std::size_t open_connections = 0;
   bool close_after_answers = false;
+  /** Connections that wait for a request of which nothing has come. */
+  std::set<Connection*> idle;
 };
 
 /**
@@ -33,6 +38,8 @@
   ~Connection() override;
 
   void Start();
+  /** Closes a connection that waits for a request. */
+  void CloseIdle();
   /** Answers that there are too many connections, and closes. */
   void RefuseForLoad();
 
--- a/libs/http/src/connection_read.cc
+++ b/libs/http/src/connection_read.cc
@@ -59,7 +59,10 @@
   address_ = FormatEndpoint(stream_.socket().remote_endpoint(ignored));
 }
 
-Connection::~Connection() { --shared_->open_connections; }
+Connection::~Connection() {
+  shared_->idle.erase(this);
+  --shared_->open_connections;
+}
 
 void Connection::Start() { WaitForRequest(); }
 
@@ -72,9 +75,11 @@
   // A kept connection may be idle for long; once a request has begun, its
   // head has to come within the shorter header timeout.
   stream_.expires_after(shared_->limits.idle_timeout);
+  shared_->idle.insert(this);
   stream_.async_read_some(
       buffer_.prepare(std::min(kFirstReadBytes, buffer_.max_size())),
       [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+        self->shared_->idle.erase(self.get());
         if (error) {
           self->Close();
           return;
@@ -84,6 +89,12 @@
       });
 }
 
+void Connection::CloseIdle() {
+  shared_->idle.erase(this);
+  ErrorCode ignored;
+  stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+}
+
 void Connection::ReadHead() {
   stream_.expires_after(shared_->limits.header_timeout);
   asio::async_read_until(
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -111,6 +111,13 @@
 
 void Server::CloseAfterAnswers() { state_->shared->close_after_answers = true; }
 
+void Server::CloseIdleConnections() {
+  const std::set<Connection*> idle = state_->shared->idle;
+  for (Connection* connection : idle) {
+    connection->CloseIdle();
+  }
+}
+
 std::size_t Server::open_connections() const {
   return state_->shared->open_connections;
 }
