--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -174,7 +174,9 @@
       status_timer_(context_),
       demand_timer_(context_),
       settings_timer_(context_),
-      stop_timer_(context_) {}
+      stop_timer_(context_) {
+  state_.report_soon = [this] { SendStatusSoon(); };
+}
 
 Result<void> Edge::Listen() {
   const auto listen = [](http::Server& server,
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -52,7 +52,10 @@
   void OnStatus(const InstanceId& from, const StatusMessage& status);
   void TickStatus();
   void TickDemand();
+  void NotePeers(TimePoint now);
   StatusMessage MakeStatus();
+  void SendStatus(TimePoint now);
+  void SendStatusSoon();
 
   boost::asio::io_context context_;
   std::string settings_file_;
@@ -79,6 +82,7 @@
   std::optional<store::KeyValue> holder_;
   std::map<std::uint64_t, ServerId> server_of_hash_;
   std::map<InstanceId, TimePoint> behind_since_;
+  TimePoint status_sent_;
   std::optional<TimePoint> stopping_;
   bool accepting_ = true;
 };
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -7,6 +7,8 @@
 using telemetry::Event;
 
 constexpr milliseconds kStatusInterval{200};
+// A burst of charges is told sooner, but not more often than this.
+constexpr Duration kShortestStatusInterval = milliseconds(40);
 constexpr milliseconds kDemandInterval{500};
 // A peer that knows newer entries for so long shows that the watch here hears
 // nothing.
@@ -131,6 +133,7 @@
   }
   placement_.OnHolder(holder_);
   peers_.SetRegistered(instances_);
+  NotePeers(MonotonicNow());
 }
 
 void Edge::OnOwnEvent(const store::WatchEvent& event) {
@@ -241,9 +244,27 @@
   for (const ServerId& gone : state_.directory.Expire(now)) {
     OnServerChange(gone, serving::ServerChange::kGone);
   }
+  if (own_follower_.listed()) {
+    NotePeers(now);
+  }
+  SendStatus(now);
+}
+
+void Edge::NotePeers(TimePoint now) {
   const auto peers = peers_.PossiblyServing(now);
   state_.allowances.SetPeers(now, peers);
   state_.retries.SetInstances(peers.size() + 1);
+}
+
+void Edge::SendStatusSoon() {
+  const TimePoint now = MonotonicNow();
+  if (now - status_sent_ >= kShortestStatusInterval) {
+    SendStatus(now);
+  }
+}
+
+void Edge::SendStatus(TimePoint now) {
+  status_sent_ = now;
   peers_.SendToAll(MessageKind::kStatus, MakeStatus());
   status_timer_.expires_after(kStatusInterval);
   status_timer_.async_wait([this](const boost::system::error_code& error) {
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -53,7 +53,7 @@
       self->OnCallerGone();
     }
   });
-  if (!catalog_) {
+  if (!catalog_ || !state_.allowances.PeersKnown()) {
     Refuse(serving::RefusalReason::kNoConfiguration, kRetryAfterUnknown, {});
     return;
   }
@@ -97,6 +97,9 @@
       state_.allowances.Charge(MonotonicNow(), team_, cost);
   if (verdict.admitted) {
     charged_ = cost;
+    if (state_.allowances.ReportIsUrgent()) {
+      state_.report_soon();
+    }
     return true;
   }
   Refuse(serving::RefusalReason::kOverRate, verdict.retry_after,
--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -2,6 +2,7 @@
 #define FIGWELL_APPS_EDGE_STATE_H_
 
 #include <boost/asio.hpp>
+#include <functional>
 #include <string>
 
 #include "demand_meter.h"
@@ -35,6 +36,8 @@
   DemandMeter demand;
   Random random;
   std::size_t active_requests = 0;
+  /** Tells the peers of this instance's charges before the next interval. */
+  std::function<void()> report_soon;
 };
 
 }  // namespace figwell::edge
--- a/libs/serving/include/figwell/serving/allowance.h
+++ b/libs/serving/include/figwell/serving/allowance.h
@@ -56,7 +56,8 @@
     bool whole = true;
   };
 
-  /** Puts a configuration's limits in force. New teams begin at half a burst.
+  /** Puts a configuration's limits in force. New teams begin with a part of
+   * their burst.
    */
   void Configure(TimePoint now, const std::map<TeamId, TeamSpec>& teams);
 
@@ -69,8 +70,15 @@
   /** A charged request turned out not to run. */
   void Refund(TimePoint now, const TeamId& team, Tokens cost);
 
-  /** What to tell the peers. */
+  /** What to tell the peers; counts as told. */
   std::vector<TeamSpending> Own(TimePoint now);
+  /**
+   * Whether so much was charged since the last report that the peers should
+   * hear of it before the next regular one.
+   */
+  bool ReportIsUrgent() const;
+  /** Whether the other instances are known, so that charges may begin. */
+  bool PeersKnown() const { return peers_known_; }
 
  private:
   struct Bucket {
@@ -78,6 +86,7 @@
     Tokens burst = 0;
     double level = 0;
     Tokens spent = 0;
+    Tokens reported = 0;
     std::uint64_t hash = 0;
     /** Whether a peer's level was taken over since the start. */
     bool joined = false;
@@ -96,6 +105,7 @@
   std::map<InstanceId, Peer> peers_;
   std::optional<TimePoint> last_;
   double part_ = 1.0;
+  bool peers_known_ = false;
 };
 
 }  // namespace figwell::serving
--- a/libs/serving/src/allowance.cc
+++ b/libs/serving/src/allowance.cc
@@ -12,9 +12,11 @@
 
 // Part of the burst that a new bucket begins with: all instances may have
 // been restarted at once, just after a burst was spent.
-constexpr double kInitialLevel = 0.5;
+constexpr double kInitialLevel = 0.25;
 // A process that did not run for so long has not heard what others charged.
 constexpr Duration kPause = kSpendingSilence;
+// All instances together may charge one in so many bursts between reports.
+constexpr Tokens kUrgentPartOfBurst = 2;
 constexpr Duration kLongestRetryAfter = std::chrono::seconds(5);
 
 }  // namespace
@@ -85,6 +87,7 @@
 
 void Allowances::SetPeers(TimePoint now, const std::vector<InstanceId>& peers) {
   Advance(now);
+  peers_known_ = true;
   const std::set<InstanceId> present(peers.begin(), peers.end());
   std::erase_if(peers_, [&](const auto& item) {
     return !present.contains(item.first);
@@ -92,6 +95,7 @@
   for (const InstanceId& id : peers) {
     peers_.try_emplace(id);
   }
+  Advance(now + Duration{1});
 }
 
 void Allowances::OnPeer(TimePoint now, const InstanceId& id,
@@ -168,8 +172,9 @@
 std::vector<TeamSpending> Allowances::Own(TimePoint now) {
   Advance(now);
   std::vector<TeamSpending> own;
-  for (const auto& [team, bucket] : buckets_) {
+  for (auto& [team, bucket] : buckets_) {
     if (bucket.rate > 0) {
+      bucket.reported = bucket.spent;
       own.push_back(
           {bucket.hash, bucket.spent, static_cast<Tokens>(bucket.level)});
     }
@@ -177,4 +182,16 @@
   return own;
 }
 
+bool Allowances::ReportIsUrgent() const {
+  const auto instances = static_cast<Tokens>(peers_.size() + 1);
+  return std::any_of(
+      buckets_.begin(), buckets_.end(), [&](const auto& item) {
+        const Bucket& bucket = item.second;
+        return bucket.rate > 0 &&
+               (bucket.spent - bucket.reported) * instances *
+                       kUrgentPartOfBurst >
+                   bucket.burst;
+      });
+}
+
 }  // namespace figwell::serving
