Place copies by forecast demand and refuse what would only be late

Copies now go by forecast work (highest averages), and a stream that would miss its target behind a queue is refused at once. Ruled out: estimates of single models; their paces were inflated by queues that this instance does not see, and are now learnt from idle samples only.

--- a/apps/edge/demand_meter.h
+++ b/apps/edge/demand_meter.h
@@ -16,7 +16,7 @@
 class DemandMeter {
  public:
   /** Rates follow a change within about this time. */
-  static constexpr Duration kWindow = std::chrono::seconds(3);
+  static constexpr Duration kWindow = std::chrono::milliseconds(1'500);
 
   void OnRequest(TimePoint now, const serving::ModelTarget& target,
                  Duration work);
--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -1,5 +1,9 @@
 #include "placement_host.h"
 
+#include <fmt/format.h>
+
+#include <algorithm>
+
 namespace figwell::edge {
 namespace {
 
@@ -21,6 +25,11 @@
 // A wish for an adapter is kept, and repeated, for so long.
 constexpr Duration kWishLifetime = milliseconds(600);
 constexpr Duration kWishInterval = milliseconds(100);
+// How often, and with how many models, the leader's view is logged.
+constexpr Duration kStateLogInterval = std::chrono::seconds(2);
+constexpr std::size_t kLoggedModels = 6;
+// A trend does not go on for longer than this.
+constexpr Duration kLongestForecast = std::chrono::seconds(4);
 // What a wish counts as demand, in requests a second.
 constexpr double kWishWeight = 1.0;
 
@@ -314,7 +323,9 @@
   }
   pacer->second.Configure(service.engine->loads_per_second, {});
   const bool rebalance = now - last_rebalance_ >= kRebalanceEvery;
-  const serving::Demand demand = TotalDemand(now);
+  forecast_.Update(now, TotalDemand(now));
+  const serving::Demand demand = forecast_.Ahead(ForecastTime(service));
+  LogState(now, servers, demand);
   const auto moves = serving::PlanCopies({*service.engine, servers, demand,
                                           pacer->second.Allowed(now),
                                           rebalance});
@@ -326,6 +337,47 @@
   }
 }
 
+Duration PlacementHost::ForecastTime(
+    const serving::ServiceSpec& service) const {
+  Duration longest{0};
+  for (const auto& [id, model] : service.engine->models) {
+    longest = std::max(longest, model.load_time);
+  }
+  return std::min(longest, kLongestForecast);
+}
+
+void PlacementHost::LogState(
+    TimePoint now, const std::map<ServerId, serving::EngineState>& servers,
+    const serving::Demand& demand) {
+  if (now - state_logged_ < kStateLogInterval) {
+    return;
+  }
+  state_logged_ = now;
+  std::vector<std::pair<double, ModelId>> models;
+  for (const auto& [model, work] : demand.work) {
+    models.emplace_back(work, model);
+  }
+  std::sort(models.rbegin(), models.rend());
+  if (models.size() > kLoggedModels) {
+    models.resize(kLoggedModels);
+  }
+  std::string text;
+  for (const auto& [work, model] : models) {
+    int ready = 0;
+    int loading = 0;
+    for (const auto& [id, server] : servers) {
+      ready += server.models.contains(model) ? 1 : 0;
+      loading += server.loading == model ? 1 : 0;
+    }
+    text += fmt::format("{}{}:{}+{}:{:.0f}", text.empty() ? "" : " ",
+                        model.value(), ready, loading, work);
+  }
+  telemetry::Log(Event::kPlacementState, {},
+                 {{"models", text},
+                  {"servers", std::to_string(servers.size())},
+                  {"orders_under_way", std::to_string(book_.LoadsUnderWay())}});
+}
+
 void PlacementHost::Carry(TimePoint now, const serving::ServiceSpec& service,
                           const serving::CopyMove& move) {
   if (move.action == serving::OrderAction::kUnload) {
--- a/apps/edge/placement_host.h
+++ b/apps/edge/placement_host.h
@@ -56,6 +56,11 @@
   void ReadReports(TimePoint now, const ServiceId& service);
   void ReadReport(const serving::BackendServer& server);
   void Plan(TimePoint now, const serving::ServiceSpec& service);
+  /** How far ahead demand is forecast: until a load has ended. */
+  Duration ForecastTime(const serving::ServiceSpec& service) const;
+  void LogState(TimePoint now,
+                const std::map<ServerId, serving::EngineState>& servers,
+                const serving::Demand& demand);
   serving::Demand TotalDemand(TimePoint now);
   void Carry(TimePoint now, const serving::ServiceSpec& service,
              const serving::CopyMove& move);
@@ -81,6 +86,7 @@
   std::optional<InstanceId> leader_;
 
   serving::OrderBook book_;
+  serving::DemandForecast forecast_;
   std::map<ServiceId, serving::LoadPacer> pacers_;
   std::map<InstanceId, serving::Demand> demand_of_peers_;
   std::map<InstanceId, TimePoint> demand_heard_;
@@ -88,6 +94,7 @@
   std::map<serving::ModelTarget, TimePoint> asked_;
   std::map<ServerId, PendingUnload> unloads_;
   TimePoint last_rebalance_;
+  TimePoint state_logged_;
 };
 
 }  // namespace figwell::edge
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -1,5 +1,7 @@
 #include "request.h"
 
+#include <fmt/format.h>
+
 namespace figwell::edge {
 namespace {
 
@@ -38,11 +40,14 @@
     }
     return;
   }
-  if (sends_ == 0 && serving::IsHopeless(*choice, Remaining())) {
+  const serving::Admission admission =
+      serving::Admit(*route_, *choice, Elapsed(), Remaining());
+  if (sends_ == 0 && admission != serving::Admission::kSend) {
     Refuse(serving::RefusalReason::kOverloaded,
            serving::RetryAfterForLoad(choice->wait, Remaining()),
-           "expected " + Ms(choice->expected) + " remaining " +
-               Ms(Remaining()));
+           fmt::format("{} expected {} wait {} in_flight {} remaining {}",
+                       serving::Name(admission), Ms(choice->expected),
+                       Ms(choice->wait), choice->in_flight, Ms(Remaining())));
     return;
   }
   Send(*choice);
--- a/libs/serving/include/figwell/serving/admission.h
+++ b/libs/serving/include/figwell/serving/admission.h
@@ -34,8 +34,23 @@
 int ServerPriority(const Route& route, const Choice& choice,
                    Duration elapsed);
 
-/** Whether the answer would come too late to be of any use. */
-bool IsHopeless(const Choice& choice, Duration remaining);
+/** What to do with a request whose best server is known. */
+enum class Admission {
+  kSend,
+  kRefuseLate,      ///< would miss its target and delay those that can meet it
+  kRefuseHopeless,  ///< would miss the caller's deadline
+};
+
+std::string_view Name(Admission admission);
+
+/**
+ * Answers overload. A server reads prompts one after the other, so each
+ * request that is sent beyond what fits into the target makes all later ones
+ * late. Such a request is refused at once while the queue is long; the caller
+ * may come back when it is shorter.
+ */
+Admission Admit(const Route& route, const Choice& choice, Duration elapsed,
+                Duration remaining);
 
 /**
  * When a caller that was refused for load should come back: once the work
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -125,6 +125,7 @@
     ModelTarget target;
     Duration work{0};
     Duration wait_at_send{0};
+    int in_flight_at_send = 0;
     Tokens unread_tokens = 0;
     TimePoint sent;
     bool unread = true;
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -14,6 +14,8 @@
 constexpr int kMiddlePriority = 4;
 constexpr int kDistantPriority = 5;
 constexpr int kLatePriority = 7;
+// A wait over this part of the target counts as a queue.
+constexpr int kQueueParts = 2;
 
 }  // namespace
 
@@ -52,8 +54,31 @@
                                                : kDistantPriority;
 }
 
-bool IsHopeless(const Choice& choice, Duration remaining) {
-  return choice.expected > remaining;
+std::string_view Name(Admission admission) {
+  switch (admission) {
+    case Admission::kSend:
+      return "send";
+    case Admission::kRefuseLate:
+      return "late";
+    case Admission::kRefuseHopeless:
+      return "hopeless";
+  }
+  return "unknown";
+}
+
+Admission Admit(const Route& route, const Choice& choice, Duration elapsed,
+                Duration remaining) {
+  if (choice.expected > remaining) {
+    return Admission::kRefuseHopeless;
+  }
+  const bool late = route.latency_target.count() > 0 &&
+                    elapsed + choice.expected > route.latency_target;
+  // The estimate is rough: a wait that is short beside the target is no queue.
+  const bool queued = choice.wait * kQueueParts > route.latency_target;
+  if (route.kind == RequestKind::kStreaming && late && queued) {
+    return Admission::kRefuseLate;
+  }
+  return Admission::kSend;
 }
 
 Duration RetryAfterForLoad(Duration work_ahead, Duration remaining) {
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -9,16 +9,20 @@
 using std::chrono::milliseconds;
 
 // Reading speed that is assumed of a model until its first measurement.
-constexpr double kDefaultMsPerToken = 0.04;
-constexpr double kPaceSmoothing = 0.2;
+constexpr double kDefaultMsPerToken = 0.05;
+constexpr double kPaceSmoothing = 0.3;
+constexpr double kPaceSmoothingUp = 0.05;
+constexpr double kLargestSample = 3.0;
 // A first event is a measure of the reading speed only if the estimate had
 // next to nothing ahead of the request.
 constexpr Duration kIdleWait = milliseconds(20);
+constexpr int kIdleInFlight = 4;
 // Time from a prompt's last token to the first event, without other work.
 constexpr Duration kFirstEventBase = milliseconds(25);
-// What each running request adds to the time of a step, as a share of the
-// request's own work.
-constexpr double kCrowding = 0.012;
+// Tokens of running requests are generated between the pieces of a prompt:
+// a fixed part of the reading time, and a little for each of them.
+constexpr double kGenerationShare = 0.1;
+constexpr double kCrowding = 0.001;
 // Assumed of a plain server until its first answer.
 constexpr Duration kDefaultServiceTime = milliseconds(40);
 constexpr double kServiceTimeSmoothing = 0.1;
@@ -153,7 +157,8 @@
         std::max<Tokens>(0, needs.prompt_tokens - choice.cached_tokens));
     const double work =
         unread * MillisecondsPerToken(needs.target.model) + ToMs(kFirstEventBase);
-    choice.work = FromMs(work * (1.0 + kCrowding * choice.in_flight));
+    choice.work = FromMs(
+        work * (1.0 + kGenerationShare + kCrowding * choice.in_flight));
     choice.wait = state.unread + peers.unread;
     const int over = choice.in_flight - service->engine->slots;
     if (over >= 0) {
@@ -263,6 +268,7 @@
   attempt.target = needs.target;
   attempt.work = choice.work;
   attempt.wait_at_send = choice.wait;
+  attempt.in_flight_at_send = choice.in_flight;
   attempt.unread_tokens =
       std::max<Tokens>(0, needs.prompt_tokens - choice.cached_tokens);
   attempt.sent = now;
@@ -277,17 +283,21 @@
 void Balancer::LearnPace(TimePoint now, const Attempt& attempt) {
   constexpr Tokens kEnoughTokens = 300;
   if (attempt.target.model.empty() || attempt.wait_at_send > kIdleWait ||
+      attempt.in_flight_at_send > kIdleInFlight ||
       attempt.unread_tokens < kEnoughTokens) {
     return;
   }
   const double measured =
       std::max(0.0, ToMs(now - attempt.sent - kFirstEventBase)) /
       static_cast<double>(attempt.unread_tokens);
-  const auto [pace, first] =
-      ms_per_token_.emplace(attempt.target.model, measured);
-  if (!first) {
-    pace->second += kPaceSmoothing * (measured - pace->second);
-  }
+  double& pace = ms_per_token_
+                     .try_emplace(attempt.target.model, kDefaultMsPerToken)
+                     .first->second;
+  // Work that this instance does not know of only makes samples larger, so
+  // they count for less the larger they are.
+  const double bounded = std::min(measured, pace * kLargestSample);
+  pace += (bounded < pace ? kPaceSmoothing : kPaceSmoothingUp) *
+          (bounded - pace);
 }
 
 void Balancer::OnFirstByte(TimePoint now, AttemptNumber number) {
--- a/libs/serving/src/copies.cc
+++ b/libs/serving/src/copies.cc
@@ -8,12 +8,15 @@
 namespace figwell::serving {
 namespace {
 
-// A model's servers count as busy above this, in milliseconds of work a
-// second; a copy is added only where there is less than kIdleWork.
+// What a slow load costs, in milliseconds of work a second: a server that has
+// the weights at hand is chosen unless it has so much more to do.
 constexpr double kBusyWork = 350;
-constexpr double kIdleWork = 250;
-// A victim's remaining servers must stay below this with its work.
-constexpr double kVictimWork = 200;
+// Work a second and copy from which another copy is worth its place.
+constexpr double kWorthACopy = 120;
+// What a model without a copy counts beyond its demand: it serves nobody.
+constexpr double kMissingWork = 150;
+// A copy makes way only for one that is worth so many times as much.
+constexpr double kClearGain = 1.5;
 // Requests a second and copy from which an adapter gets another copy.
 constexpr double kBusyAdapter = 0.7;
 
@@ -36,10 +39,10 @@
   }
 
   std::vector<CopyMove> Plan() {
-    PlaceMissingModels();
+    SetTargets();
+    PlaceModels();
     PlaceAdapters();
     if (input_.rebalance) {
-      AddBusyModel();
       AddBusyAdapters();
     }
     return std::move(moves_);
@@ -126,20 +129,83 @@
     return server.at_hand.contains(model) || loads_left_ > 0;
   }
 
-  /** The copy on the server whose loss matters least, if any may go. */
+  /**
+   * How many copies each model should have: one each, and the other places to
+   * the models with the most work a copy, as far as it is worth a copy.
+   */
+  void SetTargets() {
+    int places = 0;
+    for (const auto& [id, server] : input_.servers) {
+      places += PlacesOf(server);
+    }
+    for (const auto& [id, spec] : input_.engine.models) {
+      targets_[id] = 1;
+      --places;
+    }
+    const int most = static_cast<int>(input_.servers.size());
+    while (places > 0) {
+      const ModelId* next = nullptr;
+      double largest = kWorthACopy;
+      for (const auto& [id, target] : targets_) {
+        const double work = Work(id) / target;
+        if (target < most && work > largest) {
+          next = &id;
+          largest = work;
+        }
+      }
+      if (next == nullptr) {
+        return;
+      }
+      ++targets_[*next];
+      --places;
+    }
+  }
+
+  /** Models that fit into a server: those it holds, and more of average size.
+   */
+  int PlacesOf(const EngineState& server) const {
+    double sum = 0;
+    for (const auto& [id, spec] : input_.engine.models) {
+      sum += spec.weights_mb;
+    }
+    const double average =
+        sum / static_cast<double>(std::max<std::size_t>(
+                  1, input_.engine.models.size()));
+    const double left = Capacity() - UsedMb(server);
+    return static_cast<int>(server.models.size()) +
+           static_cast<int>(std::max(0.0, left) / std::max(1.0, average));
+  }
+
+  int Target(const ModelId& model) const {
+    const auto found = targets_.find(model);
+    return found == targets_.end() ? 0 : found->second;
+  }
+
+  /**
+   * The copy on the server whose loss matters least. It has to be worth
+   * clearly less than the one that is wanted, or models would change places
+   * over and over.
+   */
   std::optional<ModelId> Victim(const EngineState& server,
                                 const ModelId& wanted) const {
+    const bool missing = Copies(wanted) == 0;
+    const double gain = Work(wanted) / (Copies(wanted) + 1);
     std::optional<ModelId> victim;
     double least = 0;
     for (const auto& [model, adapters] : server.models) {
+      const bool configured = input_.engine.models.contains(model);
       const int copies = Copies(model);
-      if (model == wanted || copies < 2) {
+      if (model == wanted || (configured && copies < 2)) {
         continue;
       }
-      const double work = WorkPerCopy(model, copies - 1);
-      if (!victim || work < least) {
+      const double loss = configured ? WorkPerCopy(model, copies - 1) : 0;
+      const bool spare = copies > Target(model) && loss * kClearGain < gain;
+      if (!missing && !spare) {
+        continue;
+      }
+      if (!victim || loss < least) {
         victim = model;
-        least = work;
+        least = loss;
       }
     }
     return victim;
@@ -153,7 +219,7 @@
 
   /** Where a further copy costs least; a victim has to go first if it is set.
    */
-  std::optional<Place> FindPlace(const ModelId& model, double most_work) const {
+  std::optional<Place> FindPlace(const ModelId& model) const {
     std::optional<Place> best;
     for (const auto& [id, server] : input_.servers) {
       if (!Free(id) || server.models.contains(model) ||
@@ -166,12 +232,7 @@
         if (!place.victim) {
           continue;
         }
-        const double after =
-            WorkPerCopy(*place.victim, Copies(*place.victim) - 1);
-        if (after > most_work) {
-          continue;
-        }
-        place.cost += after;
+        place.cost += WorkPerCopy(*place.victim, Copies(*place.victim) - 1);
       }
       if (!server.at_hand.contains(model)) {
         place.cost += kBusyWork;  // a load from the weight store is slow
@@ -186,6 +247,8 @@
   void Carry(const Place& place, const ModelId& model, MoveReason reason) {
     if (place.victim) {
       --copies_[*place.victim];
+      // The load follows once the memory is free; it counts from now.
+      ++copies_[model];
       Add(place.server, OrderAction::kUnload, {*place.victim, {}},
           MoveReason::kMakeRoom);
     } else {
@@ -193,22 +256,33 @@
     }
   }
 
-  void PlaceMissingModels() {
-    std::vector<ModelId> missing;
-    for (const auto& [id, spec] : input_.engine.models) {
-      if (Copies(id) == 0) {
-        missing.push_back(id);
+  /** Copies that are missing, those with the most work first. */
+  void PlaceModels() {
+    for (std::size_t moves = 0; moves < input_.servers.size(); ++moves) {
+      std::optional<ModelId> next;
+      double most = 0;
+      for (const auto& [id, target] : targets_) {
+        const int copies = Copies(id);
+        if (copies >= target || stuck_.contains(id) ||
+            (copies > 0 && !input_.rebalance)) {
+          continue;
+        }
+        const double work =
+            copies == 0 ? Work(id) + kMissingWork : Work(id) / (copies + 1);
+        if (!next || work > most) {
+          next = id;
+          most = work;
+        }
       }
-    }
-    std::stable_sort(missing.begin(), missing.end(),
-                     [&](const ModelId& left, const ModelId& right) {
-                       return Work(left) > Work(right);
-                     });
-    for (const ModelId& model : missing) {
-      const auto place =
-          FindPlace(model, std::numeric_limits<double>::infinity());
-      if (place) {
-        Carry(*place, model, MoveReason::kNoCopy);
+      if (!next) {
+        return;
+      }
+      const bool missing = Copies(*next) == 0;
+      if (const auto place = FindPlace(*next)) {
+        Carry(*place, *next,
+              missing ? MoveReason::kNoCopy : MoveReason::kDemand);
+      } else {
+        stuck_.insert(*next);
       }
     }
   }
@@ -315,48 +389,12 @@
     }
   }
 
-  /** The least work of any server that holds the model. */
-  double LeastWork(const ModelId& model) const {
-    double least = std::numeric_limits<double>::infinity();
-    for (const auto& [id, server] : input_.servers) {
-      if (server.models.contains(model)) {
-        least = std::min(least, ServerWork(server));
-      }
-    }
-    return least;
-  }
-
-  void AddBusyModel() {
-    std::optional<ModelId> busiest;
-    double most = kBusyWork;
-    for (const auto& [model, work] : input_.demand.work) {
-      if (work <= 0 || Copies(model) == 0 ||
-          !input_.engine.models.contains(model)) {
-        continue;
-      }
-      const double least = LeastWork(model);
-      // Only a copy for a model that causes the work there helps.
-      if (least > most && least < std::numeric_limits<double>::infinity() &&
-          WorkPerCopy(model, Copies(model)) > least / 3) {
-        busiest = model;
-        most = least;
-      }
-    }
-    if (!busiest) {
-      return;
-    }
-    const auto place = FindPlace(*busiest, kVictimWork);
-    if (!place ||
-        ServerWork(input_.servers.at(place->server)) > kIdleWork) {
-      return;
-    }
-    Carry(*place, *busiest, MoveReason::kDemand);
-  }
-
   const CopyPlanInput& input_;
   int loads_left_;
   std::map<ModelId, int> copies_;
   std::map<ModelTarget, int> adapter_copies_;
+  std::map<ModelId, int> targets_;
+  std::set<ModelId> stuck_;  // no place can be found now
   std::set<ServerId> ordered_;
   std::vector<CopyMove> moves_;
 };
--- /dev/null
+++ b/libs/serving/src/forecast.cc
@@ -0,0 +1,70 @@
+#include <algorithm>
+#include <cmath>
+
+#include "figwell/serving/copies.h"
+
+namespace figwell::serving {
+namespace {
+
+// Time constants of level and trend: the shorter, the sooner a shift shows,
+// the longer, the less a burst of arrivals passes for one.
+constexpr double kLevelSeconds = 0.8;
+constexpr double kTrendSeconds = 1.5;
+// Updates closer together than this are not worth one.
+constexpr Duration kLeastInterval = std::chrono::milliseconds(200);
+// Models with less work than this are forgotten.
+constexpr double kForgottenWork = 0.5;
+
+}  // namespace
+
+void DemandForecast::Update(TimePoint now, const Demand& demand) {
+  requests_ = demand.requests;
+  if (!updated_) {
+    updated_ = now;
+    for (const auto& [model, work] : demand.work) {
+      work_[model] = {work, 0};
+    }
+    return;
+  }
+  if (now - *updated_ < kLeastInterval) {
+    return;
+  }
+  const double seconds =
+      std::chrono::duration<double>(now - *updated_).count();
+  updated_ = now;
+  for (const auto& [model, work] : demand.work) {
+    work_.try_emplace(model);
+  }
+  const double level_weight = 1 - std::exp(-seconds / kLevelSeconds);
+  const double trend_weight = 1 - std::exp(-seconds / kTrendSeconds);
+  for (auto& [model, series] : work_) {
+    const auto found = demand.work.find(model);
+    const double work = found == demand.work.end() ? 0 : found->second;
+    const double before = series.level;
+    const double expected = before + series.trend * seconds;
+    series.level = std::max(0.0, expected + level_weight * (work - expected));
+    const double slope = (series.level - before) / seconds;
+    series.trend += trend_weight * (slope - series.trend);
+  }
+  std::erase_if(work_, [&](const auto& item) {
+    return item.second.level < kForgottenWork &&
+           !demand.work.contains(item.first);
+  });
+}
+
+Demand DemandForecast::Ahead(Duration ahead) const {
+  const double seconds = std::chrono::duration<double>(ahead).count();
+  double total = 0;
+  for (const auto& [model, series] : work_) {
+    total += series.level;
+  }
+  Demand demand;
+  demand.requests = requests_;
+  for (const auto& [model, series] : work_) {
+    const double work = series.level + series.trend * seconds;
+    demand.work.emplace(model, std::clamp(work, 0.0, total));
+  }
+  return demand;
+}
+
+}  // namespace figwell::serving
--- a/libs/telemetry/include/figwell/telemetry.h
+++ b/libs/telemetry/include/figwell/telemetry.h
@@ -68,6 +68,7 @@
   kLeaseLost = 1702,
   kOrderSent = 1703,
   kOrderEnded = 1704,
+  kPlacementState = 1705,
 };
 
 /** One row of the catalogue. */
--- a/libs/telemetry/src/event_catalogue.cc
+++ b/libs/telemetry/src/event_catalogue.cc
@@ -45,6 +45,7 @@
     EventInfo{Event::kLeaseLost, "lease_lost", Level::kWarning},
     EventInfo{Event::kOrderSent, "order_sent", Level::kInfo},
     EventInfo{Event::kOrderEnded, "order_ended", Level::kInfo},
+    EventInfo{Event::kPlacementState, "placement_state", Level::kInfo},
 };
 
 }  // namespace
