--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -321,7 +321,7 @@
   if (added) {
     pacer->second.Reset(now);
   }
-  pacer->second.Configure(service.engine->loads_per_second, {});
+  pacer->second.Configure(service.engine->loads_per_second);
   const bool rebalance = now - last_rebalance_ >= kRebalanceEvery;
   forecast_.Update(now, TotalDemand(now));
   const serving::Demand demand = forecast_.Ahead(ForecastTime(service));
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -138,7 +138,7 @@
   http::ResponseHandlers handlers;
   const auto self = shared_from_this();
   handlers.belongs = [id = head_.id](const http::Headers& headers) {
-    return adapter::ReadAnswer(id, 0, headers).belongs;
+    return !adapter::ReadAnswer(id, 0, headers).foreign;
   };
   handlers.on_head = [self](int status, const http::Headers& headers) {
     self->OnHead(status, headers);
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -14,7 +14,7 @@
     state_.balancer.OnReportedLoad(now, choice_.server, *answer_.load);
   }
   streaming_ = route_->kind == serving::RequestKind::kStreaming &&
-               IsSuccess() && answer_.sealed;
+               IsSuccess() && answer_.sealed && answer_.named;
   if (!streaming_ && attempt_) {
     state_.balancer.OnFirstByte(now, *attempt_);
   }
@@ -111,7 +111,7 @@
     OnRejected(status_);
     return;
   }
-  const bool whole = answer_.sealed &&
+  const bool whole = answer_.sealed && answer_.named &&
                      !answer_headers_.Contains("Content-Encoding") &&
                      !relaying_;
   if (!whole) {
--- a/libs/http/src/connection_read.cc
+++ b/libs/http/src/connection_read.cc
@@ -80,7 +80,7 @@
       buffer_.prepare(std::min(kFirstReadBytes, buffer_.max_size())),
       [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
         self->shared_->idle.erase(self.get());
-        if (error) {
+        if (error || !self->stream_.socket().is_open()) {
           self->Close();
           return;
         }
@@ -90,9 +90,17 @@
 }
 
 void Connection::CloseIdle() {
-  shared_->idle.erase(this);
-  ErrorCode ignored;
-  stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  char byte = 0;
+  ErrorCode error;
+  stream_.socket().non_blocking(true, error);
+  stream_.socket().receive(asio::buffer(&byte, 1),
+                           asio::socket_base::message_peek, error);
+  if (error == asio::error::would_block) {
+    // Nothing has come. What comes from now on is not read, so its sender
+    // knows that it was not handled.
+    shared_->idle.erase(this);
+    stream_.socket().close(error);
+  }
 }
 
 void Connection::ReadHead() {
--- a/libs/serving/include/figwell/serving/orders.h
+++ b/libs/serving/include/figwell/serving/orders.h
@@ -128,7 +128,7 @@
  */
 class LoadPacer {
  public:
-  void Configure(double loads_per_second, Duration window);
+  void Configure(double loads_per_second);
   /** Starts again with nothing allowed. */
   void Reset(TimePoint now);
   int Allowed(TimePoint now);
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -11,8 +11,8 @@
 // Reading speed that is assumed of a model until its first measurement.
 constexpr double kDefaultMsPerToken = 0.05;
 constexpr double kPaceSmoothing = 0.3;
-constexpr double kPaceSmoothingUp = 0.05;
-constexpr double kLargestSample = 3.0;
+constexpr double kPaceSmoothingUp = 0.03;
+constexpr double kLargestSample = 2.0;
 // A first event is a measure of the reading speed only if the estimate had
 // next to nothing ahead of the request.
 constexpr Duration kIdleWait = milliseconds(20);
--- a/libs/serving/src/copies.cc
+++ b/libs/serving/src/copies.cc
@@ -13,6 +13,8 @@
 constexpr double kBusyWork = 350;
 // Work a second and copy from which another copy is worth its place.
 constexpr double kWorthACopy = 120;
+// What giving up another copy costs, in milliseconds of work a second.
+constexpr double kEvictionCost = 50;
 // What a model without a copy counts beyond its demand: it serves nobody.
 constexpr double kMissingWork = 150;
 // A copy makes way only for one that is worth so many times as much.
@@ -232,7 +234,8 @@
         if (!place.victim) {
           continue;
         }
-        place.cost += WorkPerCopy(*place.victim, Copies(*place.victim) - 1);
+        place.cost += kEvictionCost + WorkPerCopy(*place.victim,
+                                                  Copies(*place.victim) - 1);
       }
       if (!server.at_hand.contains(model)) {
         place.cost += kBusyWork;  // a load from the weight store is slow
--- a/libs/serving/src/orders.cc
+++ b/libs/serving/src/orders.cc
@@ -186,10 +186,9 @@
       }));
 }
 
-void LoadPacer::Configure(double loads_per_second, Duration window) {
+void LoadPacer::Configure(double loads_per_second) {
   rate_ = loads_per_second * kUsedRate;
   capacity_ = kBurstLoads;
-  (void)window;
 }
 
 void LoadPacer::Reset(TimePoint now) {
--- /dev/null
+++ b/libs/serving/tests/admission_test.cc
@@ -0,0 +1,70 @@
+#include "figwell/serving/admission.h"
+
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+Route StreamingRoute(Duration target) {
+  Route route;
+  route.kind = RequestKind::kStreaming;
+  route.latency_target = target;
+  return route;
+}
+
+Choice MakeChoice(Duration wait, Duration work) {
+  Choice choice;
+  choice.wait = wait;
+  choice.work = work;
+  choice.expected = wait + work;
+  return choice;
+}
+
+TEST_CASE("a request that cannot meet the caller's deadline is refused") {
+  const Choice choice = MakeChoice(milliseconds(900), milliseconds(200));
+  CHECK(Admit(StreamingRoute(milliseconds(5'000)), choice, {},
+              milliseconds(1'000)) == Admission::kRefuseHopeless);
+}
+
+TEST_CASE("a stream that would be late behind a queue is refused") {
+  const Route route = StreamingRoute(milliseconds(800));
+  const Duration deadline = milliseconds(5'000);
+  CHECK(Admit(route, MakeChoice(milliseconds(300), milliseconds(100)), {},
+              deadline) == Admission::kSend);
+  CHECK(Admit(route, MakeChoice(milliseconds(900), milliseconds(100)), {},
+              deadline) == Admission::kRefuseLate);
+  // A large prompt on an idle server delays nobody by being late.
+  CHECK(Admit(route, MakeChoice(milliseconds(10), milliseconds(900)), {},
+              deadline) == Admission::kSend);
+}
+
+TEST_CASE("a distant target admits behind a long queue") {
+  CHECK(Admit(StreamingRoute(milliseconds(6'000)),
+              MakeChoice(milliseconds(3'000), milliseconds(100)), {},
+              milliseconds(15'000)) == Admission::kSend);
+}
+
+TEST_CASE("near targets go first, and what is late goes last") {
+  const Choice quick = MakeChoice({}, milliseconds(100));
+  Route near = StreamingRoute(milliseconds(800));
+  const Route distant = StreamingRoute(milliseconds(6'000));
+  const int on_time = ServerPriority(near, quick, {});
+  CHECK(on_time < ServerPriority(distant, quick, {}));
+  CHECK(ServerPriority(distant, quick, {}) <
+        ServerPriority(near, quick, milliseconds(800)));
+  near.rank = 1;
+  CHECK(on_time <= ServerPriority(near, quick, {}));
+}
+
+TEST_CASE("a caller comes back when the queue is shorter, within its time") {
+  CHECK(RetryAfterForLoad(milliseconds(400), milliseconds(3'000)) ==
+        Duration(milliseconds(400)));
+  CHECK(RetryAfterForLoad(milliseconds(4'000), milliseconds(3'000)) ==
+        Duration(milliseconds(1'000)));
+  CHECK(RetryAfterForLoad({}, milliseconds(3'000)) == kShortestRetryAfter);
+}
+
+}  // namespace
+}  // namespace figwell::serving
--- /dev/null
+++ b/libs/serving/tests/allowance_test.cc
@@ -0,0 +1,235 @@
+#include "figwell/serving/allowance.h"
+
+#include <algorithm>
+#include <deque>
+
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+const TeamId kTeam("drivers");
+
+std::map<TeamId, TeamSpec> Teams(Tokens rate, Tokens burst) {
+  TeamSpec team;
+  team.id = kTeam;
+  team.rate = rate;
+  team.burst = burst;
+  return {{kTeam, team}};
+}
+
+TEST_CASE("a team without a limit is always admitted") {
+  Allowances allowances;
+  allowances.Configure(At(0), Teams(0, 0));
+  allowances.SetPeers(At(0), {});
+  CHECK(allowances.Charge(At(0), kTeam, 1'000'000'000).admitted);
+}
+
+TEST_CASE("a refusal says when the cost is covered") {
+  Allowances allowances;
+  allowances.SetPeers(At(0), {});
+  allowances.Configure(At(0), Teams(1'000, 1'000));
+  while (allowances.Charge(At(0), kTeam, 100).admitted) {
+  }
+  const auto refused = allowances.Charge(At(0), kTeam, 100);
+  REQUIRE_FALSE(refused.admitted);
+  const TimePoint then =
+      At(0) + refused.retry_after + Duration(milliseconds(1));
+  CHECK(allowances.Charge(then, kTeam, 100).admitted);
+}
+
+TEST_CASE("a charge that did not run is given back") {
+  Allowances allowances;
+  allowances.SetPeers(At(0), {});
+  allowances.Configure(At(0), Teams(10, 400));
+  REQUIRE(allowances.Charge(At(0), kTeam, 100).admitted);
+  REQUIRE_FALSE(allowances.Charge(At(0), kTeam, 100).admitted);
+  allowances.Refund(At(0), kTeam, 100);
+  CHECK(allowances.Charge(At(0), kTeam, 100).admitted);
+}
+
+TEST_CASE("silent instances keep their part of the limit") {
+  Allowances allowances;
+  const InstanceId peer("peer");
+  allowances.SetPeers(At(0), {peer});
+  allowances.Configure(At(0), Teams(1'000, 1'000));
+  // Never heard: half of the rate for ten seconds, and half of a burst.
+  Tokens spent = 0;
+  for (std::int64_t ms = 0; ms < 10'000; ms += 10) {
+    while (allowances.Charge(At(ms), kTeam, 10).admitted) {
+      spent += 10;
+    }
+  }
+  CHECK(spent <= 5'000 + 500);
+  CHECK(spent >= 4'900);
+}
+
+// Instances that charge as much as they may, with reports that take time, are
+// lost in partitions, and restarts of all processes.
+class Fleet {
+ public:
+  Fleet(std::size_t size, Tokens rate, Tokens burst)
+      : rate_(rate), burst_(burst) {
+    for (std::size_t i = 0; i < size; ++i) {
+      names_.emplace_back(std::string("i").append(std::to_string(i)));
+      instances_.emplace_back();
+      Restart(i, At(0));
+    }
+  }
+
+  void Restart(std::size_t i, TimePoint now) {
+    instances_[i] = Allowances();
+    ++incarnation_;
+    incarnations_.resize(instances_.size());
+    incarnations_[i] = incarnation_;
+    std::vector<InstanceId> peers = names_;
+    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(i));
+    instances_[i].SetPeers(now, peers);
+    instances_[i].Configure(now, Teams(rate_, burst_));
+  }
+
+  // `side` gives each instance its side of the partition.
+  void Step(TimePoint now, const std::vector<int>& side, Tokens cost) {
+    constexpr Duration kDelay = milliseconds(5);
+    while (!reports_.empty() && reports_.front().at <= now) {
+      const Report report = reports_.front();
+      reports_.pop_front();
+      for (std::size_t i = 0; i < instances_.size(); ++i) {
+        if (i != report.from && side[i] == side[report.from]) {
+          instances_[i].OnPeer(now, names_[report.from], report.incarnation,
+                               report.spending);
+        }
+      }
+    }
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+      if (instances_[i].Charge(now, kTeam, cost).admitted) {
+        spent_.push_back({now, cost});
+      }
+      const bool regular = now.time_since_epoch() % milliseconds(200) ==
+                           milliseconds(10 * static_cast<int>(i));
+      const bool urgent = instances_[i].ReportIsUrgent() &&
+                          now.time_since_epoch() % milliseconds(40) ==
+                              Duration{0};
+      if (regular || urgent) {
+        reports_.push_back(
+            {now + kDelay, i, incarnations_[i], instances_[i].Own(now)});
+      }
+    }
+  }
+
+  // The most that was charged in any window of that length.
+  Tokens MostIn(Duration window) const {
+    Tokens most = 0;
+    Tokens sum = 0;
+    std::size_t first = 0;
+    for (const auto& [at, cost] : spent_) {
+      sum += cost;
+      while (spent_[first].first + window < at) {
+        sum -= spent_[first++].second;
+      }
+      most = std::max(most, sum);
+    }
+    return most;
+  }
+
+  Tokens Total() const {
+    Tokens sum = 0;
+    for (const auto& [at, cost] : spent_) {
+      sum += cost;
+    }
+    return sum;
+  }
+
+ private:
+  struct Report {
+    TimePoint at;
+    std::size_t from = 0;
+    std::uint64_t incarnation = 0;
+    std::vector<TeamSpending> spending;
+  };
+
+  Tokens rate_;
+  Tokens burst_;
+  std::uint64_t incarnation_ = 0;
+  std::vector<InstanceId> names_;
+  std::vector<Allowances> instances_;
+  std::vector<std::uint64_t> incarnations_;
+  std::deque<Report> reports_;
+  std::vector<std::pair<TimePoint, Tokens>> spent_;
+};
+
+// The users' bound on these deployments: a tenth over the limit and 17,000
+// tokens, in any window of 8 s.
+constexpr Duration kWindow = std::chrono::seconds(8);
+constexpr Tokens kSlack = 17'000;
+Tokens Bound(Tokens rate, Tokens burst) {
+  return (rate * 8 + burst) * 11 / 10 + kSlack;
+}
+
+TEST_CASE("a team that asks for far more gets its limit over all instances") {
+  constexpr Tokens kRate = 57'000;
+  Fleet fleet(9, kRate, kRate);
+  const std::vector<int> together(9, 0);
+  for (std::int64_t ms = 0; ms < 30'000; ms += 10) {
+    fleet.Step(At(ms), together, 2'400);
+  }
+  CHECK(fleet.MostIn(kWindow) <= Bound(kRate, kRate));
+  CHECK(fleet.Total() >= kRate * 28);
+}
+
+TEST_CASE("a partition keeps both sides together within the limit") {
+  constexpr Tokens kRate = 57'000;
+  testing::CheckSequences(15, [] {
+    Fleet fleet(8, kRate, kRate);
+    std::vector<int> side(8, 0);
+    const auto cut = *rc::gen::inRange<std::int64_t>(3'000, 9'000);
+    const auto heal = cut + *rc::gen::inRange<std::int64_t>(300, 9'000);
+    const auto alone = *rc::gen::inRange<std::size_t>(1, 5);
+    for (std::int64_t ms = 0; ms < 24'000; ms += 10) {
+      if (ms >= cut && ms < heal) {
+        std::fill_n(side.begin(), alone, 1);
+      } else {
+        std::fill(side.begin(), side.end(), 0);
+      }
+      fleet.Step(At(ms), side, 2'400);
+    }
+    RC_ASSERT(fleet.MostIn(kWindow) <= Bound(kRate, kRate));
+  });
+}
+
+TEST_CASE("a restart of all processes does not give the burst again") {
+  constexpr Tokens kRate = 57'000;
+  Fleet fleet(9, kRate, kRate);
+  const std::vector<int> together(9, 0);
+  for (std::int64_t ms = 0; ms < 20'000; ms += 10) {
+    if (ms == 9'000) {
+      for (std::size_t i = 0; i < 9; ++i) {
+        fleet.Restart(i, At(ms));
+      }
+    }
+    fleet.Step(At(ms), together, 2'400);
+  }
+  CHECK(fleet.MostIn(kWindow) <= Bound(kRate, kRate));
+}
+
+TEST_CASE("an instance that slept does not mint what others spent") {
+  Allowances allowances;
+  const InstanceId peer("peer");
+  allowances.SetPeers(At(0), {peer});
+  allowances.Configure(At(0), Teams(1'000, 1'000));
+  allowances.OnPeer(At(0), peer, 1, {});
+  while (allowances.Charge(At(10), kTeam, 10).admitted) {
+  }
+  Tokens spent = 0;
+  while (allowances.Charge(At(6'000), kTeam, 10).admitted) {
+    spent += 10;
+  }
+  CHECK(spent <= 500);
+}
+
+}  // namespace
+}  // namespace figwell::serving
--- /dev/null
+++ b/libs/serving/tests/attempts_test.cc
@@ -0,0 +1,69 @@
+#include "figwell/serving/attempts.h"
+
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+Route MakeRoute(RequestKind kind, int max_servers, bool resumable = false) {
+  Route route;
+  route.kind = kind;
+  route.max_servers = max_servers;
+  route.resumable = resumable;
+  return route;
+}
+
+TEST_CASE("what may have run once is not sent again unless it may repeat") {
+  const Route once = MakeRoute(RequestKind::kOnce, 3);
+  CHECK(MayTryAgain(once, Progress::kNotSent, 3));
+  CHECK(MayTryAgain(once, Progress::kRejected, 1));
+  CHECK_FALSE(MayTryAgain(once, Progress::kRejected, 3));
+  CHECK_FALSE(MayTryAgain(once, Progress::kUnknown, 1));
+  CHECK_FALSE(MayTryAgain(once, Progress::kRan, 1));
+
+  const Route stream = MakeRoute(RequestKind::kStreaming, 2);
+  CHECK_FALSE(MayTryAgain(stream, Progress::kUnknown, 1));
+  CHECK_FALSE(MayTryAgain(stream, Progress::kMidStream, 1));
+
+  const Route resumable = MakeRoute(RequestKind::kStreaming, 2, true);
+  CHECK(MayTryAgain(resumable, Progress::kUnknown, 1));
+  CHECK(MayTryAgain(resumable, Progress::kMidStream, 1));
+  CHECK_FALSE(MayTryAgain(resumable, Progress::kMidStream, 2));
+
+  const Route idempotent = MakeRoute(RequestKind::kIdempotent, 2);
+  CHECK(MayTryAgain(idempotent, Progress::kUnknown, 1));
+  CHECK(MayTryAgain(idempotent, Progress::kRan, 1));
+  CHECK_FALSE(MayTryAgain(idempotent, Progress::kRan, 2));
+}
+
+TEST_CASE("all instances together stay within a service's retry budget") {
+  constexpr int kInstances = 8;
+  constexpr double kRatio = 0.2;
+  constexpr double kAllowance = 56;
+  const ServiceId service("models");
+  std::vector<RetryBudget> budgets(
+      kInstances, RetryBudget({kRatio, std::chrono::seconds(10), kAllowance}));
+  int firsts = 0;
+  int retries = 0;
+  for (RetryBudget& budget : budgets) {
+    budget.SetInstances(kInstances);
+    for (int i = 0; i < 50; ++i) {
+      budget.NoteFirst(At(i * 100), service);
+      ++firsts;
+      while (budget.TakeRetry(At(i * 100), service)) {
+        ++retries;
+      }
+    }
+  }
+  CHECK(retries <= kRatio * firsts + kAllowance);
+  CHECK(retries > kRatio * firsts / 2);
+  // The window slides: later there is budget again.
+  CHECK(budgets[0].TakeRetry(At(16'000), service));
+}
+
+}  // namespace
+}  // namespace figwell::serving
--- /dev/null
+++ b/libs/serving/tests/balancer_test.cc
@@ -0,0 +1,216 @@
+#include "figwell/serving/balancer.h"
+
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+const ServiceId kModels("models");
+const ServiceId kDesk("desk");
+const ModelTarget kModel{ModelId("m"), ""};
+const ModelTarget kAdapter{ModelId("m"), "a1"};
+
+Catalog MakeCatalog() {
+  CatalogParts parts;
+  ServiceSpec models{kModels, "/", 0, EngineSpec{}};
+  models.engine->slots = 64;
+  models.engine->cache_tokens = 100'000;
+  models.engine->models.emplace(kModel.model, ModelSpec{kModel.model});
+  parts.services.emplace(kModels, models);
+  parts.services.emplace(kDesk, ServiceSpec{kDesk, "/", 0, std::nullopt});
+  return Catalog(std::move(parts));
+}
+
+BackendServer MakeServer(const std::string& id, const ServiceId& service,
+                         const std::string& domain) {
+  BackendServer server;
+  server.id = ServerId(id);
+  server.service = service;
+  server.address = id + ":80";
+  server.domain = DomainId(domain);
+  server.slots = 6;
+  if (service == kModels) {
+    server.models[kModel.model] = {};
+  }
+  return server;
+}
+
+RequestNeeds ModelNeeds(Tokens prompt, const ModelTarget& target = kModel) {
+  RequestNeeds needs;
+  needs.service = kModels;
+  needs.target = target;
+  needs.prompt_tokens = prompt;
+  return needs;
+}
+
+RequestNeeds DeskNeeds() {
+  RequestNeeds needs;
+  needs.service = kDesk;
+  return needs;
+}
+
+struct World {
+  World() : balancer(DomainId("here")) {}
+
+  std::string Choose(std::int64_t ms, const RequestNeeds& needs) {
+    const auto choice = balancer.Choose(At(ms), catalog, directory, needs);
+    return choice ? choice->server.value() : "none";
+  }
+  AttemptNumber Send(std::int64_t ms, const RequestNeeds& needs) {
+    const auto choice = balancer.Choose(At(ms), catalog, directory, needs);
+    REQUIRE(choice);
+    return balancer.OnSent(At(ms), *choice, needs);
+  }
+
+  Catalog catalog = MakeCatalog();
+  Directory directory;
+  Balancer balancer;
+};
+
+TEST_CASE("only servers that hold the model and its adapter are chosen") {
+  World world;
+  world.directory.Put(MakeServer("a", kModels, "here"));
+  BackendServer with_adapter = MakeServer("b", kModels, "there");
+  with_adapter.models[kModel.model] = {"a1"};
+  world.directory.Put(with_adapter);
+  world.directory.Put(MakeServer("c", kDesk, "here"));
+  CHECK(world.Choose(0, ModelNeeds(100)) == "a");
+  CHECK(world.Choose(0, ModelNeeds(100, kAdapter)) == "b");
+  CHECK(world.Choose(0, ModelNeeds(100, {ModelId("other"), ""})) == "none");
+}
+
+TEST_CASE("an announcement counts until the registry has had time to agree") {
+  World world;
+  world.directory.Put(MakeServer("a", kModels, "here"));
+  CHECK(world.Choose(0, ModelNeeds(100, kAdapter)) == "none");
+  world.balancer.OnPlacement(At(0), ServerId("a"), kAdapter, true);
+  CHECK(world.Choose(10, ModelNeeds(100, kAdapter)) == "a");
+  world.balancer.OnPlacement(At(20), ServerId("a"), kModel, false);
+  CHECK(world.Choose(30, ModelNeeds(100)) == "none");
+  CHECK(world.Choose(60'000, ModelNeeds(100)) == "a");
+}
+
+TEST_CASE("unread prompts, own and of peers, send a request elsewhere") {
+  World world;
+  world.directory.Put(MakeServer("a", kModels, "here"));
+  world.directory.Put(MakeServer("b", kModels, "here"));
+  const std::string first = world.Choose(0, ModelNeeds(4'000));
+  const AttemptNumber attempt = world.Send(0, ModelNeeds(4'000));
+  const std::string second = world.Choose(1, ModelNeeds(4'000));
+  CHECK(second != first);
+  world.balancer.OnPeerLoads(
+      At(1), InstanceId("peer"),
+      {{ServerId(second), PeerLoad{9, milliseconds(2'000)}}});
+  CHECK(world.Choose(2, ModelNeeds(4'000)) == first);
+  world.balancer.OnFirstByte(At(3), attempt);
+  CHECK(world.Choose(3, ModelNeeds(4'000)) == first);
+  // A peer that fell silent is not believed for ever.
+  const std::string idle = world.Choose(4'900, ModelNeeds(100));
+  world.Send(4'900, ModelNeeds(100));
+  CHECK(world.Choose(5'000, ModelNeeds(100)) != idle);
+}
+
+TEST_CASE("a prompt goes where its prefix was read") {
+  World world;
+  for (const char* id : {"a", "b", "c", "d"}) {
+    world.directory.Put(MakeServer(id, kModels, "here"));
+  }
+  RequestNeeds needs = ModelNeeds(2'000);
+  needs.prefixes = PrefixesOf(kModel, {{1, 600}, {2, 600}, {3, 800}});
+  const std::string first = world.Choose(0, needs);
+  world.balancer.OnEnd(At(200), world.Send(0, needs), AttemptEnd::kAnswered);
+  const auto again =
+      world.balancer.Choose(At(300), world.catalog, world.directory, needs);
+  REQUIRE(again);
+  CHECK(again->server.value() == first);
+  CHECK(again->cached_tokens == 2'000);
+  // A restarted server has nothing cached.
+  world.balancer.Forget(ServerId(first));
+  const auto later =
+      world.balancer.Choose(At(400), world.catalog, world.directory, needs);
+  REQUIRE(later);
+  CHECK(later->cached_tokens < 2'000);
+}
+
+TEST_CASE("two instances that know nothing choose the same server for a part") {
+  World one;
+  World two;
+  for (const char* id : {"a", "b", "c", "d", "e"}) {
+    one.directory.Put(MakeServer(id, kModels, "here"));
+    two.directory.Put(MakeServer(id, kModels, "here"));
+  }
+  for (std::uint64_t part = 1; part < 20; ++part) {
+    RequestNeeds needs = ModelNeeds(2'000);
+    needs.prefixes = PrefixesOf(kModel, {{part, 900}, {part + 100, 1'100}});
+    CHECK(one.Choose(0, needs) == two.Choose(0, needs));
+  }
+}
+
+TEST_CASE("the own domain is preferred until its server is busy") {
+  World world;
+  world.directory.Put(MakeServer("near", kDesk, "here"));
+  world.directory.Put(MakeServer("far", kDesk, "there"));
+  std::vector<std::string> chosen;
+  for (int i = 0; i < 12; ++i) {
+    chosen.push_back(world.Choose(0, DeskNeeds()));
+    world.Send(0, DeskNeeds());
+  }
+  CHECK(chosen[0] == "near");
+  CHECK(chosen[3] == "near");
+  CHECK(std::count(chosen.begin(), chosen.end(), "far") >= 1);
+}
+
+TEST_CASE("a server that broke off is avoided for a while, then tried") {
+  World world;
+  world.directory.Put(MakeServer("near", kDesk, "here"));
+  world.directory.Put(MakeServer("far", kDesk, "there"));
+  world.balancer.OnEnd(At(0), world.Send(0, DeskNeeds()), AttemptEnd::kBroken);
+  CHECK(world.Choose(10, DeskNeeds()) == "far");
+  CHECK(world.Choose(3'000, DeskNeeds()) == "near");
+}
+
+TEST_CASE("a server that fails far more often than others is avoided") {
+  World world;
+  world.directory.Put(MakeServer("near", kDesk, "here"));
+  world.directory.Put(MakeServer("far", kDesk, "there"));
+  world.directory.Put(MakeServer("farther", kDesk, "there"));
+  for (int i = 0; i < 20 && world.Choose(i, DeskNeeds()) == "near"; ++i) {
+    world.balancer.OnEnd(At(i), world.Send(i, DeskNeeds()),
+                         AttemptEnd::kFailed);
+  }
+  CHECK(world.Choose(100, DeskNeeds()) != "near");
+}
+
+TEST_CASE("a request is not sent twice to one server, nor to one that drains") {
+  World world;
+  world.directory.Put(MakeServer("a", kDesk, "here"));
+  BackendServer leaving = MakeServer("b", kDesk, "here");
+  leaving.draining = true;
+  world.directory.Put(leaving);
+  RequestNeeds needs = DeskNeeds();
+  CHECK(world.Choose(0, needs) == "a");
+  needs.tried.insert(ServerId("a"));
+  CHECK(world.Choose(0, needs) == "none");
+}
+
+TEST_CASE("queues that this instance does not see do not slow a model") {
+  World world;
+  world.directory.Put(MakeServer("a", kModels, "here"));
+  const double before = world.balancer.MillisecondsPerToken(kModel.model);
+  for (int i = 0; i < 50; ++i) {
+    const std::int64_t start = i * 10'000;
+    const AttemptNumber attempt = world.Send(start, ModelNeeds(2'000));
+    // Every fifth answer is quick; the others waited for someone else.
+    const std::int64_t took = i % 5 == 0 ? 60 : 900;
+    world.balancer.OnFirstByte(At(start + took), attempt);
+    world.balancer.OnEnd(At(start + took), attempt, AttemptEnd::kAnswered);
+  }
+  CHECK(world.balancer.MillisecondsPerToken(kModel.model) < 2 * before);
+}
+
+}  // namespace
+}  // namespace figwell::serving
--- /dev/null
+++ b/libs/serving/tests/copies_test.cc
@@ -0,0 +1,212 @@
+#include "figwell/serving/copies.h"
+
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+std::string Numbered(const char* prefix, int number) {
+  return std::string(prefix).append(std::to_string(number));
+}
+
+ModelId Model(int number) { return ModelId(Numbered("m", number)); }
+ServerId Server(int number) { return ServerId(Numbered("s", number)); }
+
+// Servers that hold three models each, as the users' do.
+EngineSpec MakeEngine(int models, int adapters = 0) {
+  EngineSpec engine;
+  engine.weights_mb = 220'000;
+  engine.adapter_slots = 8;
+  for (int i = 0; i < models; ++i) {
+    ModelSpec model;
+    model.id = Model(i);
+    model.weights_mb = 72'700;
+    model.adapters = i == 0 ? adapters : 0;
+    model.adapter_mb = 66;
+    engine.models.emplace(model.id, model);
+  }
+  return engine;
+}
+
+std::map<ServerId, EngineState> MakeServers(
+    const std::vector<std::vector<int>>& held) {
+  std::map<ServerId, EngineState> servers;
+  for (std::size_t i = 0; i < held.size(); ++i) {
+    EngineState state;
+    state.orderable = true;
+    for (const int model : held[i]) {
+      state.models[Model(model)] = {};
+    }
+    servers.emplace(Server(static_cast<int>(i)), state);
+  }
+  return servers;
+}
+
+TEST_CASE("a model without a copy is loaded where there is room") {
+  const EngineSpec engine = MakeEngine(4);
+  const auto servers = MakeServers({{0, 1, 2}, {0}});
+  const Demand demand;
+  const auto moves = PlanCopies({engine, servers, demand, 2, false});
+  REQUIRE(moves.size() == 1);
+  CHECK(moves[0] == CopyMove{Server(1), OrderAction::kLoad, {Model(3), ""},
+                             MoveReason::kNoCopy});
+}
+
+TEST_CASE("a missing model takes the place of a copy that others have") {
+  const EngineSpec engine = MakeEngine(4);
+  const auto servers = MakeServers({{0, 1, 2}, {0, 1, 2}});
+  const Demand demand;
+  const auto moves = PlanCopies({engine, servers, demand, 2, false});
+  REQUIRE(moves.size() == 1);
+  CHECK(moves[0].action == OrderAction::kUnload);
+  CHECK(moves[0].reason == MoveReason::kMakeRoom);
+}
+
+TEST_CASE("no load begins beyond the weight store's rate, but from disk") {
+  const EngineSpec engine = MakeEngine(2);
+  auto servers = MakeServers({{0}, {0}});
+  const Demand demand;
+  CHECK(PlanCopies({engine, servers, demand, 0, false}).empty());
+  servers.at(Server(1)).at_hand.insert(Model(1));
+  const auto moves = PlanCopies({engine, servers, demand, 0, false});
+  REQUIRE(moves.size() == 1);
+  CHECK(moves[0].server == Server(1));
+}
+
+TEST_CASE("copies follow the work that is asked for") {
+  const EngineSpec engine = MakeEngine(4);
+  const auto servers =
+      MakeServers({{0, 1, 2}, {0, 1, 3}, {0, 1}, {0, 1}, {0, 2}});
+  Demand demand;
+  demand.work[Model(2)] = 2'000;
+  demand.work[Model(0)] = 100;
+  const auto moves = PlanCopies({engine, servers, demand, 2, true});
+  REQUIRE_FALSE(moves.empty());
+  for (const CopyMove& move : moves) {
+    if (move.action == OrderAction::kLoad) {
+      CHECK(move.target.model == Model(2));
+    }
+  }
+}
+
+TEST_CASE("equal demand moves nothing") {
+  const EngineSpec engine = MakeEngine(3);
+  const auto servers = MakeServers({{0, 1, 2}, {0, 1, 2}, {0, 1, 2}});
+  Demand demand;
+  for (int i = 0; i < 3; ++i) {
+    demand.work[Model(i)] = 300;
+  }
+  CHECK(PlanCopies({engine, servers, demand, 2, true}).empty());
+}
+
+TEST_CASE("every adapter gets a place, those that are asked for first") {
+  const EngineSpec engine = MakeEngine(1, 20);
+  auto servers = MakeServers({{0}, {0}});
+  Demand demand;
+  demand.requests[{Model(0), "a17"}] = 2;
+  auto moves = PlanCopies({engine, servers, demand, 0, false});
+  REQUIRE(moves.size() == 2);
+  CHECK(moves[0].target == ModelTarget{Model(0), "a17"});
+  // Full servers give up an adapter that nobody asks for.
+  for (auto& [id, server] : servers) {
+    for (int i = 1; i <= 8; ++i) {
+      server.models[Model(0)].insert(Numbered("a", i));
+    }
+  }
+  moves = PlanCopies({engine, servers, demand, 0, false});
+  REQUIRE_FALSE(moves.empty());
+  CHECK(moves[0].action == OrderAction::kUnload);
+  CHECK(moves[0].reason == MoveReason::kAdapterIdle);
+}
+
+// Carries out plans on servers that appear, fill and vanish, and checks what
+// must always hold.
+TEST_CASE("no plan overcommits a server or drops the last copy of a model") {
+  testing::CheckSequences(60, [] {
+    const int models = *rc::gen::inRange(2, 12);
+    const EngineSpec engine = MakeEngine(models, 12);
+    const int size = *rc::gen::inRange(2, 8);
+    std::vector<std::vector<int>> held(static_cast<std::size_t>(size));
+    for (auto& list : held) {
+      const int count = *rc::gen::inRange(0, std::min(4, models + 1));
+      for (int i = 0; i < count; ++i) {
+        list.push_back(*rc::gen::inRange(0, models));
+      }
+    }
+    auto servers = MakeServers(held);
+    for (int round = 0; round < 12; ++round) {
+      Demand demand;
+      for (int i = 0; i < models; ++i) {
+        demand.work[Model(i)] = *rc::gen::inRange(0, 4'000);
+      }
+      const auto moves = PlanCopies({engine, servers, demand, 3, true});
+      std::set<ServerId> ordered;
+      std::map<ModelId, int> before;
+      for (const auto& [id, server] : servers) {
+        for (const auto& [model, adapters] : server.models) {
+          ++before[model];
+        }
+      }
+      for (const CopyMove& move : moves) {
+        RC_ASSERT(ordered.insert(move.server).second);
+        auto& models_there = servers.at(move.server).models;
+        if (!move.target.adapter.empty()) {
+          auto& adapters = models_there[move.target.model];
+          if (move.action == OrderAction::kLoad) {
+            adapters.insert(move.target.adapter);
+          } else {
+            adapters.erase(move.target.adapter);
+          }
+        } else if (move.action == OrderAction::kLoad) {
+          models_there[move.target.model] = {};
+        } else {
+          models_there.erase(move.target.model);
+          RC_ASSERT(--before[move.target.model] >= 1);
+        }
+      }
+      for (const auto& [id, server] : servers) {
+        double used = 0;
+        std::size_t adapters = 0;
+        for (const auto& [model, names] : server.models) {
+          used += engine.models.at(model).weights_mb;
+          adapters += names.size();
+        }
+        used += 66.0 * static_cast<double>(adapters);
+        RC_ASSERT(used <= engine.weights_mb);
+        RC_ASSERT(adapters <= 8U);
+      }
+    }
+  });
+}
+
+TEST_CASE("a forecast sees a shift of demand before it has happened") {
+  DemandForecast forecast;
+  // Model 0 falls by 200 a second while model 1 rises by as much.
+  for (int ms = 0; ms <= 4'000; ms += 250) {
+    Demand demand;
+    demand.work[Model(0)] = 2'000 - ms * 0.2;
+    demand.work[Model(1)] = ms * 0.2;
+    forecast.Update(At(ms), demand);
+  }
+  const Demand ahead = forecast.Ahead(milliseconds(4'000));
+  CHECK(ahead.work.at(Model(1)) > 1'200);
+  CHECK(ahead.work.at(Model(0)) < 700);
+}
+
+TEST_CASE("a forecast stays within what all models have together") {
+  DemandForecast forecast;
+  for (int ms = 0; ms <= 2'000; ms += 250) {
+    Demand demand;
+    demand.work[Model(0)] = ms;
+    forecast.Update(At(ms), demand);
+  }
+  CHECK(forecast.Ahead(std::chrono::seconds(60)).work.at(Model(0)) <= 2'000);
+  CHECK(DemandForecast().Ahead(milliseconds(1)).work.empty());
+}
+
+}  // namespace
+}  // namespace figwell::serving
--- /dev/null
+++ b/libs/serving/tests/directory_test.cc
@@ -0,0 +1,85 @@
+#include "figwell/serving/directory.h"
+
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+BackendServer MakeServer(const std::string& id, std::int64_t started = 1) {
+  BackendServer server;
+  server.id = ServerId(id);
+  server.service = ServiceId("models");
+  server.address = "10.0.0.1:80";
+  server.started_ms = started;
+  return server;
+}
+
+TEST_CASE("a removed server is gone at once while the store is well") {
+  Directory directory;
+  CHECK(directory.Put(MakeServer("a")) == ServerChange::kAppeared);
+  CHECK(directory.Put(MakeServer("a")) == ServerChange::kUnchanged);
+  CHECK(directory.Remove(At(1), ServerId("a")) == ServerChange::kGone);
+  CHECK(directory.Find(ServerId("a")) == nullptr);
+}
+
+TEST_CASE("a server that drains gets no new work") {
+  Directory directory;
+  directory.Put(MakeServer("a"));
+  CHECK(directory.Usable(ServerId("a")));
+  BackendServer leaving = MakeServer("a");
+  leaving.draining = true;
+  CHECK(directory.Put(leaving) == ServerChange::kDraining);
+  CHECK_FALSE(directory.Usable(ServerId("a")));
+}
+
+TEST_CASE("an id that starts again is another server") {
+  Directory directory;
+  directory.Put(MakeServer("a", 1));
+  CHECK(directory.Put(MakeServer("a", 2)) == ServerChange::kRestarted);
+}
+
+TEST_CASE("entries that lapsed in an outage have two seconds to return") {
+  Directory directory;
+  directory.Put(MakeServer("a"));
+  directory.Put(MakeServer("b"));
+  directory.StoreLost();
+  CHECK(directory.Expire(At(60'000)).empty());
+  directory.StoreRegained(At(60'000));
+  // The first read after the outage has neither.
+  directory.Replace(At(60'050), {});
+  CHECK(directory.Usable(ServerId("a")));
+  CHECK(directory.Put(MakeServer("a")) == ServerChange::kUnchanged);
+  CHECK(directory.Expire(At(61'500)).empty());
+  CHECK(directory.Expire(At(62'100)) ==
+        std::vector<ServerId>{ServerId("b")});
+  CHECK(directory.Usable(ServerId("a")));
+  // Later removals count at once again.
+  CHECK(directory.Remove(At(63'000), ServerId("a")) == ServerChange::kGone);
+}
+
+TEST_CASE("a server that was draining is not given grace") {
+  Directory directory;
+  BackendServer leaving = MakeServer("a");
+  leaving.draining = true;
+  directory.Put(leaving);
+  directory.StoreLost();
+  directory.StoreRegained(At(10));
+  CHECK(directory.Remove(At(20), ServerId("a")) == ServerChange::kGone);
+}
+
+TEST_CASE("a listing replaces what was known") {
+  Directory directory;
+  directory.Put(MakeServer("a"));
+  const auto changes =
+      directory.Replace(At(1), {MakeServer("b"), MakeServer("c")});
+  CHECK(changes.size() == 3);
+  CHECK(directory.entries().size() == 2);
+  CHECK(directory.Find(ServerId("a")) == nullptr);
+}
+
+}  // namespace
+}  // namespace figwell::serving
--- /dev/null
+++ b/libs/serving/tests/leadership_test.cc
@@ -0,0 +1,267 @@
+#include "figwell/serving/leadership.h"
+
+#include <map>
+
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+const LeadershipBounds kBounds;
+
+// A store with one key, and processes whose calls are lost, late or refused,
+// that freeze, and that may be cut from the store.
+class World {
+ public:
+  explicit World(std::size_t processes) {
+    for (std::size_t i = 0; i < processes; ++i) {
+      processes_.emplace_back("key", std::string("p").append(std::to_string(i)), kBounds);
+    }
+    frozen_until_.resize(processes);
+    cut_.resize(processes);
+  }
+
+  void Freeze(std::size_t i, std::int64_t until) { frozen_until_[i] = until; }
+  void Cut(std::size_t i, bool cut) { cut_[i] = cut; }
+  /** Answers are lost for a while although the calls are carried out. */
+  void LoseAnswers(bool lose) { lose_answers_ = lose; }
+
+  void Step() {
+    now_ += 20;
+    ExpireLeases();
+    for (std::size_t i = 0; i < processes_.size(); ++i) {
+      if (now_ < frozen_until_[i]) {
+        continue;
+      }
+      Deliver(i);
+      TellHolder(i);
+      if (const auto action = processes_[i].Tick(At(now_))) {
+        Carry(i, *action);
+      }
+      if (processes_[i].Leads(At(now_))) {
+        ordered_.push_back({now_, i});
+      }
+    }
+  }
+
+  // Whether orders of two processes were ever closer than the separation.
+  bool TookTurns() const {
+    for (std::size_t i = 1; i < ordered_.size(); ++i) {
+      if (ordered_[i].second != ordered_[i - 1].second &&
+          At(ordered_[i].first) - At(ordered_[i - 1].first) <
+              kBounds.separation) {
+        return true;
+      }
+    }
+    return false;
+  }
+  std::size_t orders() const { return ordered_.size(); }
+  std::int64_t now() const { return now_; }
+
+ private:
+  struct Lease {
+    std::size_t owner = 0;
+    std::int64_t ends = 0;
+  };
+  struct Answer {
+    std::int64_t at = 0;
+    std::function<void(PlacementLease&, TimePoint)> give;
+  };
+
+  void ExpireLeases() {
+    std::erase_if(leases_, [&](const auto& item) {
+      return item.second.ends <= now_;
+    });
+    if (holder_ && !leases_.contains(holder_->lease)) {
+      holder_.reset();
+    }
+  }
+
+  void Deliver(std::size_t i) {
+    auto& queue = answers_[i];
+    std::vector<Answer> due;
+    for (auto answer = queue.begin(); answer != queue.end();) {
+      if (answer->at <= now_) {
+        due.push_back(std::move(*answer));
+        answer = queue.erase(answer);
+      } else {
+        ++answer;
+      }
+    }
+    for (const Answer& answer : due) {
+      answer.give(processes_[i], At(now_));
+    }
+  }
+
+  // The watch tells of the key, unless the process is cut off.
+  void TellHolder(std::size_t i) {
+    if (!cut_[i]) {
+      processes_[i].OnHolder(At(now_), holder_);
+    }
+  }
+
+  template <typename Give>
+  void AnswerLater(std::size_t i, Give give) {
+    answers_[i].push_back({now_ + 8, std::move(give)});
+  }
+
+  bool Lost(std::size_t i) const { return cut_[i] || lose_answers_; }
+  static tl::unexpected<Error> Unknown() {
+    return Fail(ErrorCode::kUnknownOutcome, "no answer");
+  }
+
+  void Carry(std::size_t i, const LeadershipAction& action) {
+    std::visit([&](const auto& call) { CarryOne(i, call); }, action);
+  }
+
+  void CarryOne(std::size_t i, const GrantLease& call) {
+    store::LeaseId lease = 0;
+    if (!cut_[i]) {
+      lease = ++last_lease_;
+      leases_[lease] = {i, now_ + call.ttl / milliseconds(1)};
+    }
+    const bool lost = Lost(i);
+    AnswerLater(i, [lease, lost](PlacementLease& process, TimePoint now) {
+      process.OnGranted(
+          now, lost ? Result<store::LeaseId>(Unknown()) : lease);
+    });
+  }
+
+  void CarryOne(std::size_t i, const KeepLease& call) {
+    const auto lease = leases_.find(call.lease);
+    const bool there = !cut_[i] && lease != leases_.end();
+    if (there) {
+      lease->second.ends = now_ + PlacementLease::kTtl / milliseconds(1);
+    }
+    const bool lost = Lost(i);
+    AnswerLater(i, [there, lost](PlacementLease& process, TimePoint now) {
+      if (lost) {
+        process.OnKept(now, Unknown());
+      } else if (there) {
+        process.OnKept(now, {});
+      } else {
+        process.OnKept(now, Fail(ErrorCode::kNotFound, "ended"));
+      }
+    });
+  }
+
+  void CarryOne(std::size_t i, const TakeKey& call) {
+    const bool there = !cut_[i] && leases_.contains(call.lease);
+    std::optional<store::Revision> taken;
+    if (there && !holder_) {
+      holder_ = store::KeyValue{call.key, call.value, ++revision_, revision_,
+                                call.lease};
+      taken = revision_;
+    }
+    const bool lost = Lost(i);
+    AnswerLater(i, [there, taken, lost](PlacementLease& process,
+                                        TimePoint now) {
+      using Taken = Result<std::optional<store::Revision>>;
+      process.OnTaken(now, lost     ? Taken(Unknown())
+                           : !there ? Taken(Fail(ErrorCode::kNotFound, ""))
+                                    : Taken(taken));
+    });
+  }
+
+  void CarryOne(std::size_t i, const ReadKey&) {
+    const bool lost = Lost(i);
+    AnswerLater(i, [holder = holder_, lost](PlacementLease& process,
+                                            TimePoint now) {
+      using Read = Result<std::optional<store::KeyValue>>;
+      process.OnRead(now, lost ? Read(Unknown()) : Read(holder));
+    });
+  }
+
+  std::int64_t now_ = 0;
+  std::vector<PlacementLease> processes_;
+  std::vector<std::int64_t> frozen_until_;
+  std::vector<bool> cut_;
+  bool lose_answers_ = false;
+  std::map<store::LeaseId, Lease> leases_;
+  store::LeaseId last_lease_ = 0;
+  store::Revision revision_ = 0;
+  std::optional<store::KeyValue> holder_;
+  std::map<std::size_t, std::vector<Answer>> answers_;
+  std::vector<std::pair<std::int64_t, std::size_t>> ordered_;
+};
+
+TEST_CASE("one process leads once the separation has passed") {
+  World world(3);
+  while (world.now() < 3'000) {
+    world.Step();
+  }
+  CHECK(world.orders() == 0);
+  while (world.now() < 6'000) {
+    world.Step();
+  }
+  CHECK(world.orders() > 0);
+}
+
+TEST_CASE("orders of two processes never take turns within the separation") {
+  testing::CheckSequences(60, [] {
+    World world(3);
+    for (int phase = 0; phase < 8; ++phase) {
+      const auto victim = *rc::gen::inRange<std::size_t>(0, 3);
+      const auto kind = *rc::gen::inRange(0, 4);
+      const auto length = *rc::gen::inRange<std::int64_t>(100, 9'000);
+      if (kind == 0) {
+        world.Freeze(victim, world.now() + length);
+      } else if (kind == 1) {
+        world.Cut(victim, true);
+      } else if (kind == 2) {
+        world.LoseAnswers(true);
+      }
+      const std::int64_t until = world.now() + length;
+      while (world.now() < until) {
+        world.Step();
+      }
+      world.Cut(victim, false);
+      world.LoseAnswers(false);
+    }
+    RC_ASSERT_FALSE(world.TookTurns());
+  });
+}
+
+TEST_CASE("a leader that cannot renew stops before its lease ends") {
+  World world(2);
+  while (world.orders() == 0) {
+    world.Step();
+  }
+  world.Cut(0, true);
+  world.Cut(1, true);
+  const std::int64_t cut = world.now();
+  std::size_t before = world.orders();
+  while (world.now() < cut + 4'000) {
+    world.Step();
+  }
+  before = world.orders();
+  while (world.now() < cut + 20'000) {
+    world.Step();
+  }
+  CHECK(world.orders() == before);
+}
+
+TEST_CASE("a process that resigned leads no more") {
+  PlacementLease lease("key", "me", kBounds);
+  REQUIRE(lease.Tick(At(0)));
+  lease.OnGranted(At(1), store::LeaseId{7});
+  lease.OnHolder(At(1), std::nullopt);
+  REQUIRE(lease.Tick(At(2)));
+  lease.OnTaken(At(3), std::optional<store::Revision>(5));
+  CHECK_FALSE(lease.Leads(At(3'000)));
+  for (int ms = 1'400; ms <= 2'800; ms += 1'400) {
+    REQUIRE(lease.Tick(At(ms)));
+    lease.OnKept(At(ms), {});
+  }
+  CHECK(lease.Leads(At(3'400)));
+  CHECK(lease.fence() == 5);
+  lease.Resign();
+  CHECK_FALSE(lease.Leads(At(3'400)));
+}
+
+}  // namespace
+}  // namespace figwell::serving
--- /dev/null
+++ b/libs/serving/tests/orders_test.cc
@@ -0,0 +1,125 @@
+#include "figwell/serving/orders.h"
+
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+const ServerId kServer("s");
+const ModelTarget kModel{ModelId("m"), ""};
+const ModelTarget kAdapter{ModelId("m"), "a1"};
+
+EngineReport MakeReport(std::int64_t accepted, bool busy = false) {
+  EngineReport report;
+  report.models[kModel.model] = {};
+  report.accepted = accepted;
+  report.busy = busy;
+  return report;
+}
+
+TEST_CASE("no order leaves before a report has shown the server's state") {
+  OrderBook book;
+  CHECK(book.Orderable(At(0), kServer) == nullptr);
+  CHECK(book.WantsReport(At(0), kServer));
+  book.OnReportAsked(At(0), kServer);
+  CHECK_FALSE(book.WantsReport(At(1), kServer));
+  book.OnReport(At(600), kServer, MakeReport(3));
+  REQUIRE(book.Orderable(At(600), kServer) != nullptr);
+  const Order order =
+      book.Begin(At(600), kServer, OrderAction::kLoad, kAdapter);
+  CHECK(order.expected == 3);
+  CHECK(book.Orderable(At(601), kServer) == nullptr);
+}
+
+TEST_CASE("an accepted order raises the expected number of the next") {
+  OrderBook book;
+  book.OnReport(At(600), kServer, MakeReport(3));
+  const Order first =
+      book.Begin(At(600), kServer, OrderAction::kLoad, kAdapter);
+  book.OnOutcome(At(610), first, OrderOutcome::kAccepted, milliseconds(30));
+  const EngineView* view = book.Orderable(At(620), kServer);
+  REQUIRE(view != nullptr);
+  CHECK(view->models.at(kModel.model).contains("a1"));
+  CHECK(book.Begin(At(620), kServer, OrderAction::kUnload, kAdapter)
+            .expected == 4);
+}
+
+TEST_CASE("after an order without an answer the server is read again") {
+  OrderBook book;
+  book.OnReport(At(600), kServer, MakeReport(3));
+  const Order order =
+      book.Begin(At(600), kServer, OrderAction::kLoad, kAdapter);
+  book.OnOutcome(At(1'600), order, OrderOutcome::kUnknown, {});
+  CHECK(book.Orderable(At(1'700), kServer) == nullptr);
+  CHECK_FALSE(book.WantsReport(At(1'700), kServer));
+  CHECK(book.WantsReport(At(2'200), kServer));
+  // A report from before the order could have shown is not believed.
+  book.OnReport(At(1'800), kServer, MakeReport(3));
+  CHECK(book.Orderable(At(1'900), kServer) == nullptr);
+  book.OnReport(At(2'300), kServer, MakeReport(3));
+  REQUIRE(book.Orderable(At(2'300), kServer) != nullptr);
+  // The late order and the next carry the same number: one of them acts.
+  CHECK(book.Begin(At(2'300), kServer, OrderAction::kLoad, kAdapter)
+            .expected == order.expected);
+}
+
+TEST_CASE("a load keeps the server until a report shows the model") {
+  OrderBook book;
+  const ModelTarget other{ModelId("n"), ""};
+  book.OnReport(At(600), kServer, MakeReport(0));
+  const Order order = book.Begin(At(600), kServer, OrderAction::kLoad, other);
+  book.OnOutcome(At(610), order, OrderOutcome::kAccepted, milliseconds(8'000));
+  CHECK(book.Loading(kServer, other.model));
+  CHECK(book.LoadsUnderWay() == 1);
+  CHECK_FALSE(book.WantsReport(At(5'000), kServer));
+  CHECK(book.WantsReport(At(8'700), kServer));
+  CHECK_FALSE(book.OnReport(At(8'700), kServer, MakeReport(1, true)));
+  CHECK(book.Orderable(At(8'700), kServer) == nullptr);
+  EngineReport done = MakeReport(1);
+  done.models[other.model] = {};
+  CHECK(book.OnReport(At(9'200), kServer, done) == other.model);
+  CHECK(book.Orderable(At(9'200), kServer) != nullptr);
+  CHECK_FALSE(book.Loading(kServer, other.model));
+}
+
+TEST_CASE("a report older than the last order is not believed") {
+  OrderBook book;
+  book.OnReport(At(600), kServer, MakeReport(3));
+  const Order order =
+      book.Begin(At(600), kServer, OrderAction::kLoad, kAdapter);
+  book.OnOutcome(At(610), order, OrderOutcome::kAccepted, milliseconds(30));
+  book.OnReport(At(700), kServer, MakeReport(3));
+  REQUIRE(book.Find(kServer) != nullptr);
+  CHECK(book.Find(kServer)->accepted == 4);
+}
+
+TEST_CASE("a new leader begins with no loads allowed and keeps to the rate") {
+  LoadPacer pacer;
+  pacer.Configure(2.1);
+  pacer.Reset(At(0));
+  CHECK(pacer.Allowed(At(0)) == 0);
+  int loads = 0;
+  int most_in_window = 0;
+  std::vector<std::int64_t> begun;
+  for (std::int64_t ms = 0; ms < 30'000; ms += 50) {
+    while (pacer.Allowed(At(ms)) > 0) {
+      pacer.OnLoad(At(ms));
+      begun.push_back(ms);
+      ++loads;
+    }
+    const auto in_window = std::count_if(
+        begun.begin(), begun.end(),
+        [&](std::int64_t at) { return at > ms - 5'000; });
+    most_in_window = std::max(most_in_window, static_cast<int>(in_window));
+  }
+  // The users' ceiling: the rate and a tenth over 5 s, and 3 more.
+  CHECK(most_in_window <= 2.1 * 5 * 1.1 + 3);
+  CHECK(loads >= 50);
+}
+
+}  // namespace
+}  // namespace figwell::serving
