--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -19,6 +19,8 @@
 constexpr Duration kStopMargin = milliseconds(400);
 constexpr milliseconds kSettingsPoll{1'000};
 
+// Far below the bound on draining; servers change in groups.
+constexpr milliseconds kChangesPause{250};
 // The store answers in milliseconds; slow spells take a hundred times that.
 constexpr milliseconds kStoreTimeout{1'500};
 constexpr milliseconds kStoreConnectTimeout{500};
@@ -118,6 +120,7 @@
       placement_(state_, store_, server_http_, peers_, incarnation_),
       configuration_follower_(
           context_, store_, std::string(adapter::kConfigurationPrefix),
+          milliseconds(0),
           {[this](const std::vector<store::KeyValue>& items) {
              for (const store::KeyValue& item : items) {
                OnConfigurationItem(item);
@@ -132,6 +135,7 @@
            [this](Duration) { peers_.NoteStore(true); }}),
       servers_follower_(
           context_, store_, std::string(adapter::kServersPrefix),
+          kChangesPause,
           {[this](const std::vector<store::KeyValue>& items) {
              OnServersListing(items);
            },
@@ -141,6 +145,7 @@
              state_.directory.StoreRegained(MonotonicNow());
            }}),
       own_follower_(context_, store_, state_.settings.store_prefix,
+                    kChangesPause,
                     {[this](const std::vector<store::KeyValue>& items) {
                        OnOwnListing(items);
                      },
--- a/apps/edge/store_follower.cc
+++ b/apps/edge/store_follower.cc
@@ -19,10 +19,11 @@
 
 StoreFollower::StoreFollower(boost::asio::io_context& context,
                              adapter::StoreClient& store, std::string prefix,
-                             FollowerCallbacks callbacks)
+                             milliseconds pause, FollowerCallbacks callbacks)
     : timer_(context),
       store_(store),
       prefix_(std::move(prefix)),
+      pause_(pause),
       callbacks_(std::move(callbacks)),
       random_(StableHash(RandomHex(8))) {}
 
@@ -87,8 +88,13 @@
     newest_ = std::max(newest_, event.entry.mod_revision);
     callbacks_.on_event(event);
   }
-  if (round == round_) {
+  if (round != round_) {
+    return;
+  }
+  if (batch->events.empty() || pause_.count() == 0) {
     Watch();
+  } else {
+    Later(pause_, /*list_again=*/false);
   }
 }
 
--- a/apps/edge/store_follower.h
+++ b/apps/edge/store_follower.h
@@ -30,8 +30,11 @@
   /** Failing for so long makes the store count as away. */
   static constexpr Duration kAwayAfter = std::chrono::milliseconds(1'000);
 
+  /** @param pause time between a change and the next watch: changes that come
+   *  close together then cost one call */
   StoreFollower(boost::asio::io_context& context, adapter::StoreClient& store,
-                std::string prefix, FollowerCallbacks callbacks);
+                std::string prefix, std::chrono::milliseconds pause,
+                FollowerCallbacks callbacks);
 
   void Start();
   /** Reads all items again now, besides any call that is under way. */
@@ -55,6 +58,7 @@
   boost::asio::steady_timer timer_;
   adapter::StoreClient& store_;
   std::string prefix_;
+  std::chrono::milliseconds pause_;
   FollowerCallbacks callbacks_;
   Random random_;
   /** Answers to calls of an earlier round are ignored. */
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -27,7 +27,7 @@
 constexpr Duration kDefaultServiceTime = milliseconds(40);
 constexpr double kServiceTimeSmoothing = 0.1;
 // Crossing failure domains costs bytes that are priced and a round trip.
-constexpr Duration kOtherDomainCost = milliseconds(25);
+constexpr Duration kOtherDomainCost = milliseconds(50);
 // A server's own word on its load holds for so long.
 constexpr Duration kReportLifetime = milliseconds(1'000);
 // A peer's word holds for some gossip intervals.
@@ -232,7 +232,14 @@
     const std::string key =
         std::to_string(needs.prefixes[needs.prefixes.size() - 2].key);
     std::uint64_t heaviest = 0;
+    const bool near = std::any_of(
+        candidates.begin(), candidates.end(), [&](const auto* server) {
+          return server->domain == own_domain_;
+        });
     for (const BackendServer* server : candidates) {
+      if (near && server->domain != own_domain_) {
+        continue;
+      }
       const std::uint64_t weight = RendezvousWeight(key, server->id.value());
       if (home == nullptr || weight > heaviest) {
         home = server;
--- a/libs/serving/tests/balancer_test.cc
+++ b/libs/serving/tests/balancer_test.cc
@@ -155,7 +155,7 @@
   world.directory.Put(MakeServer("near", kDesk, "here"));
   world.directory.Put(MakeServer("far", kDesk, "there"));
   std::vector<std::string> chosen;
-  for (int i = 0; i < 12; ++i) {
+  for (int i = 0; i < 20; ++i) {
     chosen.push_back(world.Choose(0, DeskNeeds()));
     world.Send(0, DeskNeeds());
   }
