--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -71,13 +71,13 @@
   }
   placement_.AskForAdapter(needs_.target);
   wait_timer_.expires_after(kTargetPoll);
-  wait_timer_.async_wait(
-      [weak = weak_from_this()](const boost::system::error_code& error) {
-        const auto self = weak.lock();
-        if (self && !error) {
-          self->Attempt();
-        }
-      });
+  // Nothing else holds the request while it waits.
+  wait_timer_.async_wait([self = shared_from_this()](
+                             const boost::system::error_code& error) {
+    if (!error) {
+      self->Attempt();
+    }
+  });
 }
 
 void CallerRequest::RefuseWithoutServer() {
