--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -134,8 +134,7 @@
            [this] { peers_.NoteStore(false); },
            [this](Duration) { peers_.NoteStore(true); }}),
       servers_follower_(
-          context_, store_, std::string(adapter::kServersPrefix),
-          kChangesPause,
+          context_, store_, std::string(adapter::kServersPrefix), kChangesPause,
           {[this](const std::vector<store::KeyValue>& items) {
              OnServersListing(items);
            },
@@ -144,24 +143,22 @@
            [this](Duration) {
              state_.directory.StoreRegained(MonotonicNow());
            }}),
-      own_follower_(context_, store_, state_.settings.store_prefix,
-                    kChangesPause,
-                    {[this](const std::vector<store::KeyValue>& items) {
-                       OnOwnListing(items);
-                     },
-                     [this](const store::WatchEvent& event) {
-                       OnOwnEvent(event);
-                     },
-                     [] {}, [](Duration) {}}),
+      own_follower_(
+          context_, store_, state_.settings.store_prefix, kChangesPause,
+          {[this](const std::vector<store::KeyValue>& items) {
+             OnOwnListing(items);
+           },
+           [this](const store::WatchEvent& event) { OnOwnEvent(event); }, [] {},
+           [](Duration) {}}),
       callers_(context_, CallerLimits(),
                {[this](http::ExchangePtr exchange) {
                   OnCallerRequest(std::move(exchange));
                 },
                 [this](http::RejectReason reason) {
                   state_.metrics
-                      .GetCounter("figwell_rejected_messages_total",
-                                  telemetry::Label("reason",
-                                                   http::Name(reason)))
+                      .GetCounter(
+                          "figwell_rejected_messages_total",
+                          telemetry::Label("reason", http::Name(reason)))
                       .Add();
                   return RejectMessage(reason);
                 }}),
@@ -194,8 +191,7 @@
     return {};
   };
   return listen(callers_, state_.settings.listen_callers)
-      .and_then(
-          [&] { return listen(ready_, state_.settings.listen_ready); })
+      .and_then([&] { return listen(ready_, state_.settings.listen_ready); })
       .and_then(
           [&] { return listen(metrics_, state_.settings.listen_metrics); });
 }
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -18,8 +18,8 @@
 
 template <typename T>
 T Clamp(std::int64_t value) {
-  return static_cast<T>(std::clamp<std::int64_t>(
-      value, 0, std::numeric_limits<T>::max()));
+  return static_cast<T>(
+      std::clamp<std::int64_t>(value, 0, std::numeric_limits<T>::max()));
 }
 
 }  // namespace
@@ -66,10 +66,9 @@
     if (server) {
       servers.push_back(std::move(*server));
     } else {
-      telemetry::Log(
-          Event::kEntryUnreadable, server.error().message,
-          {{"server", id.value()},
-           {"findings", FormatFindings(server.error().findings)}});
+      telemetry::Log(Event::kEntryUnreadable, server.error().message,
+                     {{"server", id.value()},
+                      {"findings", FormatFindings(server.error().findings)}});
     }
   }
   for (const auto& [id, change] :
@@ -104,8 +103,7 @@
   if (change == ServerChange::kRestarted || change == ServerChange::kGone) {
     state_.balancer.Forget(id);
   }
-  if (change == ServerChange::kAppeared ||
-      change == ServerChange::kRestarted) {
+  if (change == ServerChange::kAppeared || change == ServerChange::kRestarted) {
     server_of_hash_[StableHash(id.value())] = id;
   }
   placement_.OnServerChange(id, change);
@@ -176,9 +174,9 @@
       return;
     case MessageKind::kPlacement:
       if (const auto placed = peers::Unpack<PlacementMessage>(bytes)) {
-        state_.balancer.OnPlacement(
-            MonotonicNow(), ServerId(placed->server),
-            {ModelId(placed->model), placed->adapter}, placed->present);
+        state_.balancer.OnPlacement(MonotonicNow(), ServerId(placed->server),
+                                    {ModelId(placed->model), placed->adapter},
+                                    placed->present);
       }
       return;
     case MessageKind::kAdapterWanted:
@@ -195,9 +193,9 @@
   for (const ServerLoadItem& item : status.loads) {
     const auto server = server_of_hash_.find(item.server);
     if (server != server_of_hash_.end()) {
-      loads.emplace(server->second,
-                    serving::PeerLoad{item.in_flight,
-                                      milliseconds(item.unread_ms)});
+      loads.emplace(
+          server->second,
+          serving::PeerLoad{item.in_flight, milliseconds(item.unread_ms)});
     }
   }
   state_.balancer.OnPeerLoads(now, from, loads);
@@ -209,13 +207,13 @@
   const TimePoint since = behind_since_.try_emplace(from, now).first->second;
   if (now - since >= kBehindFor && !servers_follower_.away()) {
     behind_since_.clear();
-    telemetry::Log(Event::kDependencyLost,
-                   "a peer knows newer entries; reading them again",
-                   {{"dependency", "store"},
-                    {"peer", from.value()},
-                    {"revision", std::to_string(servers_follower_.newest())},
-                    {"peer_revision",
-                     std::to_string(status.servers_revision)}});
+    telemetry::Log(
+        Event::kDependencyLost,
+        "a peer knows newer entries; reading them again",
+        {{"dependency", "store"},
+         {"peer", from.value()},
+         {"revision", std::to_string(servers_follower_.newest())},
+         {"peer_revision", std::to_string(status.servers_revision)}});
     servers_follower_.Refresh();
     own_follower_.Refresh();
     configuration_follower_.Refresh();
@@ -230,10 +228,9 @@
     if (status.loads.size() == kMostLoads) {
       break;
     }
-    status.loads.push_back({StableHash(server.value()),
-                            Clamp<std::uint16_t>(load.in_flight),
-                            Clamp<std::uint16_t>(load.unread /
-                                                 milliseconds(1))});
+    status.loads.push_back(
+        {StableHash(server.value()), Clamp<std::uint16_t>(load.in_flight),
+         Clamp<std::uint16_t>(load.unread / milliseconds(1))});
   }
   status.spending = state_.allowances.Own(MonotonicNow());
   return status;
@@ -277,8 +274,7 @@
 void Edge::TickDemand() {
   const TimePoint now = MonotonicNow();
   if (holder_) {
-    const InstanceId leader(
-        holder_->value.substr(0, holder_->value.find(' ')));
+    const InstanceId leader(holder_->value.substr(0, holder_->value.find(' ')));
     if (leader != state_.settings.instance) {
       for (const DemandMessage& message :
            ToMessages(state_.demand.Rates(now))) {
--- a/apps/edge/main.cc
+++ b/apps/edge/main.cc
@@ -78,8 +78,7 @@
   }
   figwell::telemetry::ConfigureLog(
       {figwell::telemetry::Level::kInfo, figwell::telemetry::Format::kJson,
-       settings->instance.value(),
-       figwell::telemetry::Output::kStandardOutput,
+       settings->instance.value(), figwell::telemetry::Output::kStandardOutput,
        settings->log_lines_per_second});
   return figwell::edge::Edge(command_line.settings_file, *settings).Run();
 }
--- a/apps/edge/peer_group.cc
+++ b/apps/edge/peer_group.cc
@@ -54,9 +54,8 @@
   change.conditions.push_back({SecretKey(), 0});
   change.writes.push_back({SecretKey(), RandomHex(kSecretBytes), 0});
   // Whoever was first, and whether or not the answer came: read it back.
-  store_.Commit(change, [this](const Result<adapter::ChangeResult>&) {
-    RetryLater();
-  });
+  store_.Commit(change,
+                [this](const Result<adapter::ChangeResult>&) { RetryLater(); });
 }
 
 void PeerGroup::RetryLater() {
@@ -76,8 +75,7 @@
   settings.admin_address = settings_.listen_metrics;
   settings.secrets = {secret};
   settings.incarnation = incarnation_;
-  settings.random_seed =
-      StableHash(settings_.instance.value(), incarnation_);
+  settings.random_seed = StableHash(settings_.instance.value(), incarnation_);
   peers::PeerCallbacks callbacks;
   callbacks.watch = [](bool) {};
   callbacks.read_store = [] {};
@@ -85,10 +83,12 @@
     if (update.snapshot.number > 0) {
       callbacks_.on_configuration(
           static_cast<std::int64_t>(update.snapshot.number),
-                                  update.snapshot.bytes);
+          update.snapshot.bytes);
     }
   };
-  callbacks.snapshot = [this] { return peers::Patch{VersionOf(number_), document_}; };
+  callbacks.snapshot = [this] {
+    return peers::Patch{VersionOf(number_), document_};
+  };
   callbacks.message = [this](const InstanceId& from, std::uint16_t kind,
                              std::string_view bytes) {
     callbacks_.on_message(from, static_cast<MessageKind>(kind), bytes);
@@ -99,8 +99,7 @@
   node_ = std::make_unique<peers::PeerNode>(context_, std::move(settings),
                                             std::move(callbacks));
   if (const auto bound = node_->Start(); !bound) {
-    telemetry::Log(Event::kStartFailed,
-                   "no peers: " + bound.error().message);
+    telemetry::Log(Event::kStartFailed, "no peers: " + bound.error().message);
     node_.reset();
     RetryLater();
     return;
--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -101,11 +101,10 @@
 }
 
 void PlacementHost::Carry(const serving::GrantLease& action) {
-  store_.GrantLease(
-      std::chrono::duration_cast<milliseconds>(action.ttl),
-      [this](const Result<store::LeaseId>& lease) {
-        lease_.OnGranted(MonotonicNow(), lease);
-      });
+  store_.GrantLease(std::chrono::duration_cast<milliseconds>(action.ttl),
+                    [this](const Result<store::LeaseId>& lease) {
+                      lease_.OnGranted(MonotonicNow(), lease);
+                    });
 }
 
 void PlacementHost::Carry(const serving::KeepLease& action) {
@@ -139,20 +138,19 @@
   registering_ = true;
   const store::LeaseId lease = lease_.lease();
   adapter::Change change;
-  change.writes.push_back(
-      {InstancesPrefix() + state_.settings.instance.value(),
-       state_.settings.listen_peers, lease});
-  store_.Commit(change, [this, lease](
-                            const Result<adapter::ChangeResult>& result) {
-    registering_ = false;
-    if (result && result->committed) {
-      registered_lease_ = lease;
-    } else if (!result) {
-      telemetry::Log(Event::kDependencyLost,
-                     "not registered: " + result.error().message,
-                     {{"dependency", "store"}});
-    }
-  });
+  change.writes.push_back({InstancesPrefix() + state_.settings.instance.value(),
+                           state_.settings.listen_peers, lease});
+  store_.Commit(change,
+                [this, lease](const Result<adapter::ChangeResult>& result) {
+                  registering_ = false;
+                  if (result && result->committed) {
+                    registered_lease_ = lease;
+                  } else if (!result) {
+                    telemetry::Log(Event::kDependencyLost,
+                                   "not registered: " + result.error().message,
+                                   {{"dependency", "store"}});
+                  }
+                });
 }
 
 void PlacementHost::OnHolder(const std::optional<store::KeyValue>& holder) {
@@ -188,8 +186,7 @@
     store_.EndLease(lease_.lease(), [](const Result<void>& ended) {
       if (!ended) {
         telemetry::Log(Event::kDependencyLost,
-                       "the lease runs out by itself: " +
-                           ended.error().message,
+                       "the lease runs out by itself: " + ended.error().message,
                        {{"dependency", "store"}});
       }
     });
@@ -326,9 +323,9 @@
   forecast_.Update(now, TotalDemand(now));
   const serving::Demand demand = forecast_.Ahead(ForecastTime(service));
   LogState(now, servers, demand);
-  const auto moves = serving::PlanCopies({*service.engine, servers, demand,
-                                          pacer->second.Allowed(now),
-                                          rebalance});
+  const auto moves =
+      serving::PlanCopies({*service.engine, servers, demand,
+                           pacer->second.Allowed(now), rebalance});
   if (rebalance) {
     last_rebalance_ = now;
   }
@@ -428,8 +425,8 @@
       adapter::MakeOrderRequest(order, state_.settings.instance.value(),
                                 lease_.fence()),
       limits,
-      [this, order](
-          const tl::expected<http::Response, http::ClientError>& response) {
+      [this,
+       order](const tl::expected<http::Response, http::ClientError>& response) {
         OnOrderAnswer(order, response);
       });
 }
@@ -475,10 +472,9 @@
                   {"expected", std::to_string(order.expected)},
                   {"detail", detail}});
   state_.metrics
-      .GetCounter(
-          "figwell_orders_total",
-          telemetry::Label("action", serving::Name(order.action)) + "," +
-              telemetry::Label("outcome", serving::Name(outcome)))
+      .GetCounter("figwell_orders_total",
+                  telemetry::Label("action", serving::Name(order.action)) +
+                      "," + telemetry::Label("outcome", serving::Name(outcome)))
       .Add();
   const Duration load_time = LoadTime(order);
   book_.OnOutcome(now, order, outcome, load_time);
@@ -487,12 +483,12 @@
       !order.target.adapter.empty()) {
     const auto ready = std::make_shared<boost::asio::steady_timer>(
         state_.context, kAdapterLoad);
-    ready->async_wait([this, order, ready](
-                          const boost::system::error_code& error) {
-      if (!error) {
-        Announce(order.server, order.target, true);
-      }
-    });
+    ready->async_wait(
+        [this, order, ready](const boost::system::error_code& error) {
+          if (!error) {
+            Announce(order.server, order.target, true);
+          }
+        });
   } else if (order.action == serving::OrderAction::kUnload &&
              outcome != serving::OrderOutcome::kAccepted) {
     // Peers were told that the copy goes; it may well stay.
@@ -503,8 +499,7 @@
 }
 
 void PlacementHost::Announce(const ServerId& server,
-                             const serving::ModelTarget& target,
-                             bool present) {
+                             const serving::ModelTarget& target, bool present) {
   state_.balancer.OnPlacement(MonotonicNow(), server, target, present);
   peers_.SendToAll(MessageKind::kPlacement,
                    PlacementMessage{server.value(), target.model.value(),
--- a/apps/edge/placement_host.h
+++ b/apps/edge/placement_host.h
@@ -19,9 +19,8 @@
  */
 class PlacementHost {
  public:
-  PlacementHost(State& state, adapter::StoreClient& store,
-                http::Client& client, PeerGroup& peers,
-                std::uint64_t incarnation);
+  PlacementHost(State& state, adapter::StoreClient& store, http::Client& client,
+                PeerGroup& peers, std::uint64_t incarnation);
 
   void Start();
   /** The key that the leader holds, as the watch says. */
@@ -66,9 +65,9 @@
              const serving::CopyMove& move);
   void SendDueUnloads(TimePoint now);
   void SendOrder(TimePoint now, const serving::CopyMove& move);
-  void OnOrderAnswer(const serving::Order& order,
-                     const tl::expected<http::Response, http::ClientError>&
-                         response);
+  void OnOrderAnswer(
+      const serving::Order& order,
+      const tl::expected<http::Response, http::ClientError>& response);
   void Announce(const ServerId& server, const serving::ModelTarget& target,
                 bool present);
   Duration LoadTime(const serving::Order& order) const;
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -30,8 +30,7 @@
 }  // namespace
 
 CallerRequest::CallerRequest(State& state, http::Client& client,
-                             PlacementHost& placement,
-                             http::ExchangePtr caller)
+                             PlacementHost& placement, http::ExchangePtr caller)
     : state_(state),
       client_(client),
       placement_(placement),
@@ -90,11 +89,10 @@
   if (team == catalog_->teams().end()) {
     return true;
   }
-  const serving::Tokens cost =
-      head_.prompt_tokens ? *head_.prompt_tokens + head_.output_tokens
-                          : team->second.plain_tokens;
-  const auto verdict =
-      state_.allowances.Charge(MonotonicNow(), team_, cost);
+  const serving::Tokens cost = head_.prompt_tokens
+                                   ? *head_.prompt_tokens + head_.output_tokens
+                                   : team->second.plain_tokens;
+  const auto verdict = state_.allowances.Charge(MonotonicNow(), team_, cost);
   if (verdict.admitted) {
     charged_ = cost;
     if (state_.allowances.ReportIsUrgent()) {
@@ -131,8 +129,7 @@
   }
   if (!needs_.target.model.empty()) {
     const double ms = static_cast<double>(needs_.prompt_tokens) *
-                      state_.balancer.MillisecondsPerToken(
-                          needs_.target.model);
+                      state_.balancer.MillisecondsPerToken(needs_.target.model);
     state_.demand.OnRequest(arrived_, needs_.target,
                             Duration(static_cast<std::int64_t>(ms * 1e3)));
   }
@@ -196,16 +193,15 @@
       .GetCounter("figwell_refusals_total",
                   telemetry::Label("reason", serving::Name(reason)))
       .Add();
-  telemetry::Log(
-      Event::kRequestRefused, serving::Name(reason),
-      {{"request", head_.id.value()},
-       {"team", team_.value()},
-       {"route", route_ == nullptr ? "" : route_->id.value()},
-       {"config", std::to_string(catalog_ ? catalog_->number() : 0)},
-       {"after_ms", Ms(Elapsed())},
-       {"retry_after_ms", retry_after ? Ms(*retry_after) : ""},
-       {"sends", std::to_string(sends_)},
-       {"detail", std::string(detail)}});
+  telemetry::Log(Event::kRequestRefused, serving::Name(reason),
+                 {{"request", head_.id.value()},
+                  {"team", team_.value()},
+                  {"route", route_ == nullptr ? "" : route_->id.value()},
+                  {"config", std::to_string(catalog_ ? catalog_->number() : 0)},
+                  {"after_ms", Ms(Elapsed())},
+                  {"retry_after_ms", retry_after ? Ms(*retry_after) : ""},
+                  {"sends", std::to_string(sends_)},
+                  {"detail", std::string(detail)}});
   caller_->Send(adapter::MakeRefusal(head_.id, reason, retry_after));
   Finish("refused");
 }
@@ -214,6 +210,7 @@
                                 std::string_view detail) {
   if (relaying_) {
     // The answer has begun: a close shows that it is not whole.
+    caller_->OnClosed(nullptr);
     caller_->Abort();
     Finish("broken_off " + std::string(detail));
     return;
@@ -231,9 +228,9 @@
   wait_timer_.cancel();
   caller_->OnClosed(nullptr);
   state_.metrics
-      .GetCounter("figwell_requests_total",
-                  telemetry::Label("outcome",
-                                   outcome.substr(0, outcome.find(' '))))
+      .GetCounter(
+          "figwell_requests_total",
+          telemetry::Label("outcome", outcome.substr(0, outcome.find(' '))))
       .Add();
   if (route_ != nullptr) {
     state_.metrics
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -1,7 +1,7 @@
-#include "request.h"
-
 #include <fmt/format.h>
 
+#include "request.h"
+
 namespace figwell::edge {
 namespace {
 
@@ -72,12 +72,12 @@
   placement_.AskForAdapter(needs_.target);
   wait_timer_.expires_after(kTargetPoll);
   // Nothing else holds the request while it waits.
-  wait_timer_.async_wait([self = shared_from_this()](
-                             const boost::system::error_code& error) {
-    if (!error) {
-      self->Attempt();
-    }
-  });
+  wait_timer_.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error) {
+          self->Attempt();
+        }
+      });
 }
 
 void CallerRequest::RefuseWithoutServer() {
@@ -85,10 +85,9 @@
     FailRequest(adapter::FailureReason::kBroken, "no other server");
     return;
   }
-  const Duration retry_after =
-      std::min(needs_.target.adapter.empty() ? kRetryAfterNoModel
-                                             : kRetryAfterNoAdapter,
-               Remaining() / kRetryAfterPart);
+  const Duration retry_after = std::min(
+      needs_.target.adapter.empty() ? kRetryAfterNoModel : kRetryAfterNoAdapter,
+      Remaining() / kRetryAfterPart);
   Refuse(serving::RefusalReason::kNoServer, retry_after,
          needs_.target.model.value() + "/" + needs_.target.adapter);
 }
@@ -111,20 +110,20 @@
   ++sends_;
   needs_.tried.insert(choice.server);
   attempt_ = state_.balancer.OnSent(now, choice, needs_);
-  telemetry::Log(Event::kAttemptSent, {},
-                 {{"request", head_.id.value()},
-                  {"team", team_.value()},
-                  {"route", route_->id.value()},
-                  {"server", choice.server.value()},
-                  {"target", needs_.target.model.value() + "/" +
-                                 needs_.target.adapter},
-                  {"config", std::to_string(catalog_->number())},
-                  {"expected_ms", Ms(choice.expected)},
-                  {"wait_ms", Ms(choice.wait)},
-                  {"in_flight", std::to_string(choice.in_flight)},
-                  {"cached", std::to_string(choice.cached_tokens)},
-                  {"remaining_ms", Ms(*head.remaining)},
-                  {"send", std::to_string(sends_)}});
+  telemetry::Log(
+      Event::kAttemptSent, {},
+      {{"request", head_.id.value()},
+       {"team", team_.value()},
+       {"route", route_->id.value()},
+       {"server", choice.server.value()},
+       {"target", needs_.target.model.value() + "/" + needs_.target.adapter},
+       {"config", std::to_string(catalog_->number())},
+       {"expected_ms", Ms(choice.expected)},
+       {"wait_ms", Ms(choice.wait)},
+       {"in_flight", std::to_string(choice.in_flight)},
+       {"cached", std::to_string(choice.cached_tokens)},
+       {"remaining_ms", Ms(*head.remaining)},
+       {"send", std::to_string(sends_)}});
   status_ = 0;
   body_.clear();
   reader_ = {};
@@ -166,9 +165,9 @@
                error.message);
     return;
   }
-  EndAttempt(relaying_ ? serving::Progress::kMidStream
-                       : serving::Progress::kUnknown,
-             serving::AttemptEnd::kBroken, error.message);
+  EndAttempt(
+      relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
+      serving::AttemptEnd::kBroken, error.message);
 }
 
 void CallerRequest::EndAttempt(serving::Progress progress,
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -47,9 +47,9 @@
   }
   auto events = reader_.Take(piece);
   if (!events) {
-    EndAttempt(relaying_ ? serving::Progress::kMidStream
-                         : serving::Progress::kUnknown,
-               serving::AttemptEnd::kBroken, events.error().message);
+    EndAttempt(
+        relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
+        serving::AttemptEnd::kBroken, events.error().message);
     return;
   }
   std::string relayed;
@@ -69,14 +69,14 @@
   }
   NoteFirstByte();
   StartRelay();
-  caller_->Write(std::move(relayed),
-                 [weak = weak_from_this(),
-                  resume = std::move(resume)](bool written) {
-                   const auto self = weak.lock();
-                   if (self && written && !self->done_) {
-                     resume();
-                   }
-                 });
+  caller_->Write(
+      std::move(relayed),
+      [weak = weak_from_this(), resume = std::move(resume)](bool written) {
+        const auto self = weak.lock();
+        if (self && written && !self->done_) {
+          resume();
+        }
+      });
 }
 
 void CallerRequest::OnEnd() {
@@ -93,9 +93,9 @@
 
 void CallerRequest::OnStreamEnd() {
   if (reader_.pending() > 0) {
-    EndAttempt(relaying_ ? serving::Progress::kMidStream
-                         : serving::Progress::kUnknown,
-               serving::AttemptEnd::kBroken, "ends within an event");
+    EndAttempt(
+        relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
+        serving::AttemptEnd::kBroken, "ends within an event");
     return;
   }
   state_.balancer.OnEnd(MonotonicNow(), *attempt_,
@@ -115,9 +115,9 @@
                      !answer_headers_.Contains("Content-Encoding") &&
                      !relaying_;
   if (!whole) {
-    EndAttempt(relaying_ ? serving::Progress::kMidStream
-                         : serving::Progress::kUnknown,
-               serving::AttemptEnd::kBroken, "not the server's whole answer");
+    EndAttempt(
+        relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
+        serving::AttemptEnd::kBroken, "not the server's whole answer");
     return;
   }
   constexpr int kServerErrors = 5;
@@ -139,13 +139,13 @@
     Attempt();
     return;
   }
-  state_.balancer.OnEnd(MonotonicNow(), *attempt_,
-                        failed ? serving::AttemptEnd::kFailed
-                               : serving::AttemptEnd::kAnswered);
+  state_.balancer.OnEnd(
+      MonotonicNow(), *attempt_,
+      failed ? serving::AttemptEnd::kFailed : serving::AttemptEnd::kAnswered);
   attempt_.reset();
   NoteFirstByte();
-  caller_->Send({status_, adapter::FieldsForCaller(answer_headers_),
-                 std::move(body_)});
+  caller_->Send(
+      {status_, adapter::FieldsForCaller(answer_headers_), std::move(body_)});
   Finish("answered");
 }
 
@@ -153,8 +153,8 @@
   constexpr int kMisdirected = 421;
   if (status == kMisdirected && !needs_.target.model.empty()) {
     // It does not hold what the registry says, or is another server.
-    state_.balancer.OnPlacement(MonotonicNow(), choice_.server,
-                                needs_.target, false);
+    state_.balancer.OnPlacement(MonotonicNow(), choice_.server, needs_.target,
+                                false);
   }
   EndAttempt(serving::Progress::kRejected, serving::AttemptEnd::kShed,
              "rejected without running");
--- a/apps/edge/store_follower.cc
+++ b/apps/edge/store_follower.cc
@@ -36,24 +36,24 @@
 }
 
 void StoreFollower::List() {
-  store_.List(prefix_, [this, round = round_](
-                           const Result<adapter::Listing>& listing) {
-    if (round != round_) {
-      return;
-    }
-    if (!listing) {
-      OnFailure(listing.error(), /*list_again=*/true);
-      return;
-    }
-    OnAnswer();
-    listed_ = true;
-    after_ = std::max(after_, listing->revision);
-    for (const store::KeyValue& item : listing->items) {
-      newest_ = std::max(newest_, item.mod_revision);
-    }
-    callbacks_.on_listing(listing->items);
-    Watch();
-  });
+  store_.List(prefix_,
+              [this, round = round_](const Result<adapter::Listing>& listing) {
+                if (round != round_) {
+                  return;
+                }
+                if (!listing) {
+                  OnFailure(listing.error(), /*list_again=*/true);
+                  return;
+                }
+                OnAnswer();
+                listed_ = true;
+                after_ = std::max(after_, listing->revision);
+                for (const store::KeyValue& item : listing->items) {
+                  newest_ = std::max(newest_, item.mod_revision);
+                }
+                callbacks_.on_listing(listing->items);
+                Watch();
+              });
 }
 
 void StoreFollower::Watch() {
@@ -104,11 +104,10 @@
   if (away_) {
     away_ = false;
     const Duration away = heard_ - failing_since_;
-    telemetry::Log(
-        Event::kDependencyRegained, "the store answers again",
-        {{"dependency", "store"},
-         {"prefix", prefix_},
-         {"away_ms", std::to_string(away / milliseconds(1))}});
+    telemetry::Log(Event::kDependencyRegained, "the store answers again",
+                   {{"dependency", "store"},
+                    {"prefix", prefix_},
+                    {"away_ms", std::to_string(away / milliseconds(1))}});
     callbacks_.on_regained(away);
   }
 }
@@ -126,15 +125,13 @@
                     {"failures", std::to_string(failures_)}});
     callbacks_.on_lost();
   }
-  const Duration longest =
-      std::min(kLongestRetry,
-               kFirstRetry * (1 << std::min(failures_, kMostDoublings)));
+  const Duration longest = std::min(
+      kLongestRetry, kFirstRetry * (1 << std::min(failures_, kMostDoublings)));
   ++failures_;
   // Half fixed, half random, so that instances do not call in step.
   const Duration delay =
-      longest / 2 + Duration(static_cast<std::int64_t>(
-                        random_.Below(static_cast<std::uint64_t>(
-                            longest.count() / 2 + 1))));
+      longest / 2 + Duration(static_cast<std::int64_t>(random_.Below(
+                        static_cast<std::uint64_t>(longest.count() / 2 + 1))));
   Later(delay, list_again);
 }
 
--- a/libs/config/src/edge_settings.cc
+++ b/libs/config/src/edge_settings.cc
@@ -51,8 +51,7 @@
   bounds.shortest_lease =
       ReadTime(reader, "shortest_lease_ms", bounds.shortest_lease);
   bounds.retry_ratio = ReadNumber(reader, "retry_ratio", bounds.retry_ratio);
-  bounds.retry_window =
-      ReadTime(reader, "retry_window_s", bounds.retry_window);
+  bounds.retry_window = ReadTime(reader, "retry_window_s", bounds.retry_window);
   bounds.retry_allowance =
       ReadNumber(reader, "retry_allowance", bounds.retry_allowance);
   bounds.stop_grace = ReadTime(reader, "stop_grace_s", bounds.stop_grace);
@@ -76,8 +75,8 @@
   settings.store_prefix = store.Text("prefix", settings.store_prefix);
   store.ReportUnknownFields();
   settings.bounds = ReadBounds(reader.Mapping("bounds"));
-  settings.log_lines_per_second = ReadNumber(
-      reader, "log_lines_per_second", settings.log_lines_per_second);
+  settings.log_lines_per_second =
+      ReadNumber(reader, "log_lines_per_second", settings.log_lines_per_second);
   reader.ReportUnknownFields();
   return settings;
 }
--- a/libs/serving/include/figwell/serving/admission.h
+++ b/libs/serving/include/figwell/serving/admission.h
@@ -31,8 +31,7 @@
  * Requests with a near target go before those with a distant one, and requests
  * that will miss their target yield to those that can still meet it.
  */
-int ServerPriority(const Route& route, const Choice& choice,
-                   Duration elapsed);
+int ServerPriority(const Route& route, const Choice& choice, Duration elapsed);
 
 /** What to do with a request whose best server is known. */
 enum class Admission {
--- a/libs/serving/include/figwell/serving/attempts.h
+++ b/libs/serving/include/figwell/serving/attempts.h
@@ -15,11 +15,11 @@
 
 /** How far an attempt had come, as far as it decides on the next one. */
 enum class Progress {
-  kNotSent,   ///< no byte was handed to a connection
-  kRejected,  ///< the server said that it did not run the request
-  kUnknown,   ///< it may have run
-  kRan,       ///< the server answered with a failure of its own
-  kMidStream, ///< events have reached the caller
+  kNotSent,    ///< no byte was handed to a connection
+  kRejected,   ///< the server said that it did not run the request
+  kUnknown,    ///< it may have run
+  kRan,        ///< the server answered with a failure of its own
+  kMidStream,  ///< events have reached the caller
 };
 
 std::string_view Name(Progress progress);
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -86,8 +86,7 @@
  */
 class Balancer {
  public:
-  explicit Balancer(DomainId own_domain)
-      : own_domain_(std::move(own_domain)) {}
+  explicit Balancer(DomainId own_domain) : own_domain_(std::move(own_domain)) {}
 
   /** The server with the least expected time; nullopt if none has a place. */
   std::optional<Choice> Choose(TimePoint now, const Catalog& catalog,
--- a/libs/serving/include/figwell/serving/leadership.h
+++ b/libs/serving/include/figwell/serving/leadership.h
@@ -63,10 +63,10 @@
  */
 class PlacementLease {
  public:
-  static constexpr Duration kTtl = std::chrono::milliseconds(4'000);
-  static constexpr Duration kRenewEvery = std::chrono::milliseconds(1'300);
+  static constexpr Duration kTtl = std::chrono::milliseconds(3'000);
+  static constexpr Duration kRenewEvery = std::chrono::milliseconds(900);
   /** Leadership ends this long before the lease could. */
-  static constexpr Duration kMargin = std::chrono::milliseconds(700);
+  static constexpr Duration kMargin = std::chrono::milliseconds(600);
   static constexpr Duration kRetryEvery = std::chrono::milliseconds(500);
 
   PlacementLease(std::string key, std::string value, LeadershipBounds bounds)
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -41,8 +41,7 @@
   return "unknown";
 }
 
-int ServerPriority(const Route& route, const Choice& choice,
-                   Duration elapsed) {
+int ServerPriority(const Route& route, const Choice& choice, Duration elapsed) {
   if (elapsed + choice.expected > route.latency_target) {
     return kLatePriority;
   }
--- a/libs/serving/src/allowance.cc
+++ b/libs/serving/src/allowance.cc
@@ -57,9 +57,9 @@
       bucket.level = std::min(bucket.level, cap * minted_part);
       continue;
     }
-    bucket.level = std::min(cap, bucket.level + static_cast<double>(bucket.rate) *
-                                                    minted_part *
-                                                    Seconds(elapsed));
+    bucket.level =
+        std::min(cap, bucket.level + static_cast<double>(bucket.rate) *
+                                         minted_part * Seconds(elapsed));
   }
   part_ = part;
 }
@@ -89,9 +89,8 @@
   Advance(now);
   peers_known_ = true;
   const std::set<InstanceId> present(peers.begin(), peers.end());
-  std::erase_if(peers_, [&](const auto& item) {
-    return !present.contains(item.first);
-  });
+  std::erase_if(
+      peers_, [&](const auto& item) { return !present.contains(item.first); });
   for (const InstanceId& id : peers) {
     peers_.try_emplace(id);
   }
@@ -140,9 +139,8 @@
   verdict.whole = part_ >= 1.0;
   verdict.level = static_cast<Tokens>(bucket.level);
   // A request that is larger than the whole burst runs on a full bucket.
-  const double needed =
-      std::min(static_cast<double>(cost),
-               static_cast<double>(bucket.burst) * part_);
+  const double needed = std::min(static_cast<double>(cost),
+                                 static_cast<double>(bucket.burst) * part_);
   if (bucket.level >= needed && bucket.level > 0) {
     bucket.level -= static_cast<double>(cost);
     bucket.spent += cost;
@@ -152,8 +150,8 @@
   const double minted = static_cast<double>(bucket.rate) * part_;
   const double missing = needed - bucket.level;
   verdict.retry_after = std::min<Duration>(
-      kLongestRetryAfter,
-      Duration(static_cast<std::int64_t>(1e6 * missing / std::max(1.0, minted))));
+      kLongestRetryAfter, Duration(static_cast<std::int64_t>(
+                              1e6 * missing / std::max(1.0, minted))));
   return verdict;
 }
 
@@ -184,14 +182,12 @@
 
 bool Allowances::ReportIsUrgent() const {
   const auto instances = static_cast<Tokens>(peers_.size() + 1);
-  return std::any_of(
-      buckets_.begin(), buckets_.end(), [&](const auto& item) {
-        const Bucket& bucket = item.second;
-        return bucket.rate > 0 &&
-               (bucket.spent - bucket.reported) * instances *
-                       kUrgentPartOfBurst >
-                   bucket.burst;
-      });
+  return std::any_of(buckets_.begin(), buckets_.end(), [&](const auto& item) {
+    const Bucket& bucket = item.second;
+    return bucket.rate > 0 &&
+           (bucket.spent - bucket.reported) * instances * kUrgentPartOfBurst >
+               bucket.burst;
+  });
 }
 
 }  // namespace figwell::serving
--- a/libs/serving/src/attempts.cc
+++ b/libs/serving/src/attempts.cc
@@ -64,10 +64,10 @@
 bool RetryBudget::TakeRetry(TimePoint now, const ServiceId& service) {
   Window& window = Trim(now, service);
   const double allowed =
-      kUsedPart * (bounds_.ratio * static_cast<double>(window.firsts.size()) +
-                   bounds_.allowance /
-                       static_cast<double>(std::max<std::size_t>(
-                           1, instances_)));
+      kUsedPart *
+      (bounds_.ratio * static_cast<double>(window.firsts.size()) +
+       bounds_.allowance /
+           static_cast<double>(std::max<std::size_t>(1, instances_)));
   if (static_cast<double>(window.retries.size()) + 1 > allowed) {
     return false;
   }
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -99,13 +99,12 @@
 bool Balancer::SomeoneHolds(TimePoint now, const Directory& directory,
                             const ServiceId& service,
                             const ModelTarget& target) const {
-  return std::any_of(
-      directory.entries().begin(), directory.entries().end(),
-      [&](const auto& item) {
-        const BackendServer& server = item.second.server;
-        return server.service == service && !server.draining &&
-               Holds(now, server, target);
-      });
+  return std::any_of(directory.entries().begin(), directory.entries().end(),
+                     [&](const auto& item) {
+                       const BackendServer& server = item.second.server;
+                       return server.service == service && !server.draining &&
+                              Holds(now, server, target);
+                     });
 }
 
 double Balancer::MillisecondsPerToken(const ModelId& model) const {
@@ -138,10 +137,9 @@
   choice.address = server.address;
   choice.in_flight = state.in_flight + peers.in_flight;
   if (state.reported && state.reported_at + kReportLifetime > now) {
-    choice.in_flight =
-        std::max(choice.in_flight, state.reported->running +
-                                       state.reported->waiting +
-                                       state.sent_since_report);
+    choice.in_flight = std::max(choice.in_flight, state.reported->running +
+                                                      state.reported->waiting +
+                                                      state.sent_since_report);
   }
   const ServiceSpec* service = catalog.FindService(server.service);
   if (service != nullptr && service->engine && !needs.target.model.empty()) {
@@ -155,10 +153,10 @@
     }
     const auto unread = static_cast<double>(
         std::max<Tokens>(0, needs.prompt_tokens - choice.cached_tokens));
-    const double work =
-        unread * MillisecondsPerToken(needs.target.model) + ToMs(kFirstEventBase);
-    choice.work = FromMs(
-        work * (1.0 + kGenerationShare + kCrowding * choice.in_flight));
+    const double work = unread * MillisecondsPerToken(needs.target.model) +
+                        ToMs(kFirstEventBase);
+    choice.work =
+        FromMs(work * (1.0 + kGenerationShare + kCrowding * choice.in_flight));
     choice.wait = state.unread + peers.unread;
     const int over = choice.in_flight - service->engine->slots;
     if (over >= 0) {
@@ -166,9 +164,8 @@
       choice.wait += (over + 1) * std::max(state.service_time, kFirstEventBase);
     }
   } else {
-    const Duration usual = state.service_time.count() > 0
-                               ? state.service_time
-                               : kDefaultServiceTime;
+    const Duration usual = state.service_time.count() > 0 ? state.service_time
+                                                          : kDefaultServiceTime;
     choice.work = usual;
     const int slots = std::max(1, server.slots);
     const int over = choice.in_flight - slots + 1;
@@ -233,9 +230,8 @@
         std::to_string(needs.prefixes[needs.prefixes.size() - 2].key);
     std::uint64_t heaviest = 0;
     const bool near = std::any_of(
-        candidates.begin(), candidates.end(), [&](const auto* server) {
-          return server->domain == own_domain_;
-        });
+        candidates.begin(), candidates.end(),
+        [&](const auto* server) { return server->domain == own_domain_; });
     for (const BackendServer* server : candidates) {
       if (near && server->domain != own_domain_) {
         continue;
@@ -297,14 +293,14 @@
   const double measured =
       std::max(0.0, ToMs(now - attempt.sent - kFirstEventBase)) /
       static_cast<double>(attempt.unread_tokens);
-  double& pace = ms_per_token_
-                     .try_emplace(attempt.target.model, kDefaultMsPerToken)
-                     .first->second;
+  double& pace =
+      ms_per_token_.try_emplace(attempt.target.model, kDefaultMsPerToken)
+          .first->second;
   // Work that this instance does not know of only makes samples larger, so
   // they count for less the larger they are.
   const double bounded = std::min(measured, pace * kLargestSample);
-  pace += (bounded < pace ? kPaceSmoothing : kPaceSmoothingUp) *
-          (bounded - pace);
+  pace +=
+      (bounded < pace ? kPaceSmoothing : kPaceSmoothingUp) * (bounded - pace);
 }
 
 void Balancer::OnFirstByte(TimePoint now, AttemptNumber number) {
@@ -385,9 +381,8 @@
 
 void Balancer::Forget(const ServerId& server) {
   servers_.erase(server);
-  std::erase_if(attempts_, [&](const auto& item) {
-    return item.second.server == server;
-  });
+  std::erase_if(attempts_,
+                [&](const auto& item) { return item.second.server == server; });
 }
 
 std::map<ServerId, PeerLoad> Balancer::OwnLoads() const {
--- a/libs/serving/src/copies.cc
+++ b/libs/serving/src/copies.cc
@@ -170,9 +170,8 @@
     for (const auto& [id, spec] : input_.engine.models) {
       sum += spec.weights_mb;
     }
-    const double average =
-        sum / static_cast<double>(std::max<std::size_t>(
-                  1, input_.engine.models.size()));
+    const double average = sum / static_cast<double>(std::max<std::size_t>(
+                                     1, input_.engine.models.size()));
     const double left = Capacity() - UsedMb(server);
     return static_cast<int>(server.models.size()) +
            static_cast<int>(std::max(0.0, left) / std::max(1.0, average));
@@ -234,8 +233,8 @@
         if (!place.victim) {
           continue;
         }
-        place.cost += kEvictionCost + WorkPerCopy(*place.victim,
-                                                  Copies(*place.victim) - 1);
+        place.cost += kEvictionCost +
+                      WorkPerCopy(*place.victim, Copies(*place.victim) - 1);
       }
       if (!server.at_hand.contains(model)) {
         place.cost += kBusyWork;  // a load from the weight store is slow
@@ -309,8 +308,7 @@
           AdapterCount(server) >= input_.engine.adapter_slots) {
         continue;
       }
-      const double cost =
-          AdapterCount(server) + ServerWork(server) / kBusyWork;
+      const double cost = AdapterCount(server) + ServerWork(server) / kBusyWork;
       if (!best || cost < least) {
         best = id;
         least = cost;
--- a/libs/serving/src/forecast.cc
+++ b/libs/serving/src/forecast.cc
@@ -29,8 +29,7 @@
   if (now - *updated_ < kLeastInterval) {
     return;
   }
-  const double seconds =
-      std::chrono::duration<double>(now - *updated_).count();
+  const double seconds = std::chrono::duration<double>(now - *updated_).count();
   updated_ = now;
   for (const auto& [model, work] : demand.work) {
     work_.try_emplace(model);
--- a/libs/serving/src/orders.cc
+++ b/libs/serving/src/orders.cc
@@ -52,8 +52,7 @@
   if (state.asked || state.sent || now < state.ask_at) {
     return false;
   }
-  return !state.known ||
-         (state.view.loading && now >= state.view.load_done);
+  return !state.known || (state.view.loading && now >= state.view.load_done);
 }
 
 void OrderBook::OnReportAsked(TimePoint, const ServerId& server) {
@@ -143,8 +142,8 @@
   if (outcome != OrderOutcome::kAccepted) {
     // What the server holds and has accepted has to be read again.
     state.known = false;
-    state.ask_at =
-        outcome == OrderOutcome::kUnknown ? now + kReportLag : now + kReportRetry;
+    state.ask_at = outcome == OrderOutcome::kUnknown ? now + kReportLag
+                                                     : now + kReportRetry;
     return;
   }
   view.accepted = order.expected + 1;
@@ -172,18 +171,16 @@
     return false;
   }
   const State& state = found->second;
-  const bool ordered = state.sent &&
-                       state.sent->action == OrderAction::kLoad &&
+  const bool ordered = state.sent && state.sent->action == OrderAction::kLoad &&
                        state.sent->target == ModelTarget{model, {}};
   return ordered ||
          (state.view.loading == model && !state.view.models.contains(model));
 }
 
 int OrderBook::LoadsUnderWay() const {
-  return static_cast<int>(
-      std::count_if(states_.begin(), states_.end(), [](const auto& item) {
-        return item.second.view.loading.has_value();
-      }));
+  return static_cast<int>(std::count_if(
+      states_.begin(), states_.end(),
+      [](const auto& item) { return item.second.view.loading.has_value(); }));
 }
 
 void LoadPacer::Configure(double loads_per_second) {
--- a/libs/serving/tests/allowance_test.cc
+++ b/libs/serving/tests/allowance_test.cc
@@ -111,9 +111,9 @@
       }
       const bool regular = now.time_since_epoch() % milliseconds(200) ==
                            milliseconds(10 * static_cast<int>(i));
-      const bool urgent = instances_[i].ReportIsUrgent() &&
-                          now.time_since_epoch() % milliseconds(40) ==
-                              Duration{0};
+      const bool urgent =
+          instances_[i].ReportIsUrgent() &&
+          now.time_since_epoch() % milliseconds(40) == Duration{0};
       if (regular || urgent) {
         reports_.push_back(
             {now + kDelay, i, incarnations_[i], instances_[i].Own(now)});
--- a/libs/serving/tests/catalog_test.cc
+++ b/libs/serving/tests/catalog_test.cc
@@ -50,8 +50,8 @@
 
 TEST_CASE("traffic is split in proportion to the weights") {
   Route route;
-  route.shares = {{ServiceId("a"), 90}, {ServiceId("none"), 0},
-                  {ServiceId("b"), 10}};
+  route.shares = {
+      {ServiceId("a"), 90}, {ServiceId("none"), 0}, {ServiceId("b"), 10}};
   int to_b = 0;
   constexpr int kDraws = 1000;
   for (int i = 0; i < kDraws; ++i) {
--- a/libs/serving/tests/copies_test.cc
+++ b/libs/serving/tests/copies_test.cc
@@ -52,7 +52,9 @@
   const Demand demand;
   const auto moves = PlanCopies({engine, servers, demand, 2, false});
   REQUIRE(moves.size() == 1);
-  CHECK(moves[0] == CopyMove{Server(1), OrderAction::kLoad, {Model(3), ""},
+  CHECK(moves[0] == CopyMove{Server(1),
+                             OrderAction::kLoad,
+                             {Model(3), ""},
                              MoveReason::kNoCopy});
 }
 
--- a/libs/serving/tests/directory_test.cc
+++ b/libs/serving/tests/directory_test.cc
@@ -54,8 +54,7 @@
   CHECK(directory.Usable(ServerId("a")));
   CHECK(directory.Put(MakeServer("a")) == ServerChange::kUnchanged);
   CHECK(directory.Expire(At(61'500)).empty());
-  CHECK(directory.Expire(At(62'100)) ==
-        std::vector<ServerId>{ServerId("b")});
+  CHECK(directory.Expire(At(62'100)) == std::vector<ServerId>{ServerId("b")});
   CHECK(directory.Usable(ServerId("a")));
   // Later removals count at once again.
   CHECK(directory.Remove(At(63'000), ServerId("a")) == ServerChange::kGone);
--- a/libs/serving/tests/leadership_test.cc
+++ b/libs/serving/tests/leadership_test.cc
@@ -19,7 +19,8 @@
  public:
   explicit World(std::size_t processes) {
     for (std::size_t i = 0; i < processes; ++i) {
-      processes_.emplace_back("key", std::string("p").append(std::to_string(i)), kBounds);
+      processes_.emplace_back("key", std::string("p").append(std::to_string(i)),
+                              kBounds);
     }
     frozen_until_.resize(processes);
     cut_.resize(processes);
@@ -73,9 +74,8 @@
   };
 
   void ExpireLeases() {
-    std::erase_if(leases_, [&](const auto& item) {
-      return item.second.ends <= now_;
-    });
+    std::erase_if(leases_,
+                  [&](const auto& item) { return item.second.ends <= now_; });
     if (holder_ && !leases_.contains(holder_->lease)) {
       holder_.reset();
     }
@@ -126,8 +126,7 @@
     }
     const bool lost = Lost(i);
     AnswerLater(i, [lease, lost](PlacementLease& process, TimePoint now) {
-      process.OnGranted(
-          now, lost ? Result<store::LeaseId>(Unknown()) : lease);
+      process.OnGranted(now, lost ? Result<store::LeaseId>(Unknown()) : lease);
     });
   }
 
@@ -158,22 +157,22 @@
       taken = revision_;
     }
     const bool lost = Lost(i);
-    AnswerLater(i, [there, taken, lost](PlacementLease& process,
-                                        TimePoint now) {
-      using Taken = Result<std::optional<store::Revision>>;
-      process.OnTaken(now, lost     ? Taken(Unknown())
-                           : !there ? Taken(Fail(ErrorCode::kNotFound, ""))
-                                    : Taken(taken));
-    });
+    AnswerLater(
+        i, [there, taken, lost](PlacementLease& process, TimePoint now) {
+          using Taken = Result<std::optional<store::Revision>>;
+          process.OnTaken(now, lost     ? Taken(Unknown())
+                               : !there ? Taken(Fail(ErrorCode::kNotFound, ""))
+                                        : Taken(taken));
+        });
   }
 
   void CarryOne(std::size_t i, const ReadKey&) {
     const bool lost = Lost(i);
-    AnswerLater(i, [holder = holder_, lost](PlacementLease& process,
-                                            TimePoint now) {
-      using Read = Result<std::optional<store::KeyValue>>;
-      process.OnRead(now, lost ? Read(Unknown()) : Read(holder));
-    });
+    AnswerLater(
+        i, [holder = holder_, lost](PlacementLease& process, TimePoint now) {
+          using Read = Result<std::optional<store::KeyValue>>;
+          process.OnRead(now, lost ? Read(Unknown()) : Read(holder));
+        });
   }
 
   std::int64_t now_ = 0;
--- a/libs/serving/tests/orders_test.cc
+++ b/libs/serving/tests/orders_test.cc
@@ -44,8 +44,8 @@
   const EngineView* view = book.Orderable(At(620), kServer);
   REQUIRE(view != nullptr);
   CHECK(view->models.at(kModel.model).contains("a1"));
-  CHECK(book.Begin(At(620), kServer, OrderAction::kUnload, kAdapter)
-            .expected == 4);
+  CHECK(book.Begin(At(620), kServer, OrderAction::kUnload, kAdapter).expected ==
+        4);
 }
 
 TEST_CASE("after an order without an answer the server is read again") {
@@ -63,8 +63,8 @@
   book.OnReport(At(2'300), kServer, MakeReport(3));
   REQUIRE(book.Orderable(At(2'300), kServer) != nullptr);
   // The late order and the next carry the same number: one of them acts.
-  CHECK(book.Begin(At(2'300), kServer, OrderAction::kLoad, kAdapter)
-            .expected == order.expected);
+  CHECK(book.Begin(At(2'300), kServer, OrderAction::kLoad, kAdapter).expected ==
+        order.expected);
 }
 
 TEST_CASE("a load keeps the server until a report shows the model") {
@@ -111,9 +111,9 @@
       begun.push_back(ms);
       ++loads;
     }
-    const auto in_window = std::count_if(
-        begun.begin(), begun.end(),
-        [&](std::int64_t at) { return at > ms - 5'000; });
+    const auto in_window =
+        std::count_if(begun.begin(), begun.end(),
+                      [&](std::int64_t at) { return at > ms - 5'000; });
     most_in_window = std::max(most_in_window, static_cast<int>(in_window));
   }
   // The users' ceiling: the rate and a tenth over 5 s, and 3 more.
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -105,8 +105,7 @@
     return true;
   }
   if (now > last_) {
-    const double seconds =
-        std::chrono::duration<double>(now - last_).count();
+    const double seconds = std::chrono::duration<double>(now - last_).count();
     level_ = std::min(rate_ * kBurstSeconds, level_ + rate_ * seconds);
     last_ = now;
   }
--- a/libs/telemetry/src/metric_catalogue.cc
+++ b/libs/telemetry/src/metric_catalogue.cc
@@ -29,8 +29,9 @@
                "Calls to the store, by kind and outcome"},
     MetricInfo{"figwell_orders_total", "counter",
                "Orders to backend servers, by action and outcome"},
-    MetricInfo{"figwell_first_byte_seconds", "histogram",
-               "Time from a request to the first byte of its answer, by route kind"},
+    MetricInfo{
+        "figwell_first_byte_seconds", "histogram",
+        "Time from a request to the first byte of its answer, by route kind"},
     MetricInfo{"figwell_answer_seconds", "histogram",
                "Time from a request to the end of its answer, by route kind"},
     MetricInfo{"figwell_leads", "gauge",
--- a/libs/telemetry/src/registry.cc
+++ b/libs/telemetry/src/registry.cc
@@ -69,9 +69,8 @@
                             const Histogram::Summary& summary) {
   std::string text;
   for (const Histogram::Bucket& bucket : summary.buckets) {
-    const std::string upper = std::isinf(bucket.upper)
-                                  ? "+Inf"
-                                  : fmt::format("{}", bucket.upper);
+    const std::string upper =
+        std::isinf(bucket.upper) ? "+Inf" : fmt::format("{}", bucket.upper);
     text += fmt::format("{} {}\n", Series(key, "_bucket", Label("le", upper)),
                         bucket.cumulative);
   }
