--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -20,7 +20,7 @@
 constexpr milliseconds kSettingsPoll{1'000};
 
 // Far below the bound on draining; servers change in groups.
-constexpr milliseconds kChangesPause{250};
+constexpr milliseconds kChangesPause{500};
 // The store answers in milliseconds; slow spells take a hundred times that.
 constexpr milliseconds kStoreTimeout{1'500};
 constexpr milliseconds kStoreConnectTimeout{500};
--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -10,14 +10,16 @@
 using std::chrono::milliseconds;
 using telemetry::Event;
 
-constexpr milliseconds kTick{50};
+constexpr milliseconds kTick{40};
 // Bounds of an order's exchange: engines answer at once.
-constexpr milliseconds kOrderTimeout{1'000};
+constexpr milliseconds kOrderTimeout{300};
 constexpr milliseconds kReportTimeout{600};
 // An adapter is ready this long after its order was accepted.
 constexpr milliseconds kAdapterLoad{30};
 // Peers stop sending to a copy before its unload is ordered.
 constexpr Duration kUnloadNotice = milliseconds(300);
+// An adapter that makes way is one that nobody asks for.
+constexpr Duration kAdapterNotice = milliseconds(20);
 // Copies are added for demand at most this often.
 constexpr Duration kRebalanceEvery = milliseconds(400);
 // A peer's demand counts for so long after it was told.
@@ -309,9 +311,18 @@
       engine.models = view->models;
       engine.at_hand = view->at_hand;
       engine.loading = view->loading;
+      engine.loads = !view->unloading;
       engine.orderable =
           book_.Orderable(now, id) != nullptr && !unloads_.contains(id);
     }
+    if (const auto unload = unloads_.find(id); unload != unloads_.end()) {
+      const serving::ModelTarget& target = unload->second.move.target;
+      if (target.adapter.empty()) {
+        engine.models.erase(target.model);
+      } else {
+        engine.models[target.model].erase(target.adapter);
+      }
+    }
     servers.emplace(id, std::move(engine));
   }
   auto [pacer, added] = pacers_.try_emplace(service.id);
@@ -379,7 +390,9 @@
                           const serving::CopyMove& move) {
   if (move.action == serving::OrderAction::kUnload) {
     Announce(move.server, move.target, false);
-    unloads_[move.server] = {now + kUnloadNotice, move};
+    const Duration notice =
+        move.target.adapter.empty() ? kUnloadNotice : kAdapterNotice;
+    unloads_[move.server] = {now + notice, move};
     return;
   }
   const serving::EngineView* view = book_.Find(move.server);
@@ -457,7 +470,7 @@
   serving::OrderOutcome outcome = serving::OrderOutcome::kUnknown;
   std::string detail;
   if (response) {
-    outcome = adapter::DecodeOrderAnswer(*response);
+    outcome = adapter::DecodeOrderAnswer(order, *response);
     detail = std::to_string(response->status);
   } else {
     detail = response.error().message;
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -11,7 +11,7 @@
 constexpr milliseconds kBackstop{500};
 // How long a request waits for an adapter that is being loaded, and how often
 // it looks. Longer than a round of orders, short beside a latency target.
-constexpr Duration kLongestTargetWait = milliseconds(250);
+constexpr Duration kLongestTargetWait = milliseconds(350);
 constexpr milliseconds kTargetPoll{15};
 // A model that nobody holds takes seconds to load.
 constexpr Duration kRetryAfterNoModel = milliseconds(1'500);
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -107,7 +107,7 @@
 }
 
 void CallerRequest::OnWholeAnswer() {
-  if (answer_.not_run && !answer_.sealed) {
+  if (answer_.not_run) {
     OnRejected(status_);
     return;
   }
--- a/libs/serving/include/figwell/serving/copies.h
+++ b/libs/serving/include/figwell/serving/copies.h
@@ -34,7 +34,10 @@
 class DemandForecast {
  public:
   void Update(TimePoint now, const Demand& demand);
-  /** The demand after `ahead`; no model's is more than all have together. */
+  /**
+   * The demand after `ahead`; no model's is more than all have together. What
+   * falls is not followed as far: a copy is given up at once, but not regained.
+   */
   Demand Ahead(Duration ahead) const;
 
  private:
@@ -54,7 +57,9 @@
   std::map<ModelId, std::set<std::string>> models;
   /** Weights that need no load from the weight store. */
   std::set<ModelId> at_hand;
+  /** A model whose order is under way: a load if `loads`, else an unload. */
   std::optional<ModelId> loading;
+  bool loads = true;
   bool orderable = false;  ///< may be given an order now
 
   friend bool operator==(const EngineState&, const EngineState&) = default;
--- a/libs/serving/include/figwell/serving/orders.h
+++ b/libs/serving/include/figwell/serving/orders.h
@@ -62,8 +62,10 @@
 struct EngineView {
   std::map<ModelId, std::set<std::string>> models;
   std::set<ModelId> at_hand;
-  /** A model that is being loaded. */
+  /** A model whose order is under way. */
   std::optional<ModelId> loading;
+  /** The order under way is an unload. */
+  bool unloading = false;
   TimePoint load_done;  ///< when the load should have ended
   std::int64_t accepted = 0;
 
--- a/libs/serving/src/copies.cc
+++ b/libs/serving/src/copies.cc
@@ -13,8 +13,9 @@
 constexpr double kBusyWork = 350;
 // Work a second and copy from which another copy is worth its place.
 constexpr double kWorthACopy = 120;
-// What giving up another copy costs, in milliseconds of work a second.
-constexpr double kEvictionCost = 50;
+// What giving up another copy costs, in milliseconds of work a second: an empty
+// place is taken unless its server has so much more to do.
+constexpr double kEvictionCost = 600;
 // What a model without a copy counts beyond its demand: it serves nobody.
 constexpr double kMissingWork = 150;
 // A copy makes way only for one that is worth so many times as much.
@@ -42,6 +43,7 @@
 
   std::vector<CopyMove> Plan() {
     SetTargets();
+    ReserveLoadsForVacancies();
     PlaceModels();
     PlaceAdapters();
     if (input_.rebalance) {
@@ -177,6 +179,24 @@
            static_cast<int>(std::max(0.0, left) / std::max(1.0, average));
   }
 
+  /**
+   * A place that is empty, or is being emptied, waits for a load. No further
+   * copy gives way for loads that could not begin.
+   */
+  void ReserveLoadsForVacancies() {
+    evictions_left_ = input_.loads_allowed;
+    for (const auto& [id, server] : input_.servers) {
+      const int taken =
+          static_cast<int>(server.models.size()) + (IsLoading(server) ? 1 : 0);
+      evictions_left_ -= std::max(0, PlacesOf(server) - taken);
+    }
+  }
+
+  bool IsLoading(const EngineState& server) const {
+    return server.loading && !server.models.contains(*server.loading) &&
+           server.loads;
+  }
+
   int Target(const ModelId& model) const {
     const auto found = targets_.find(model);
     return found == targets_.end() ? 0 : found->second;
@@ -229,6 +249,10 @@
       }
       Place place{id, std::nullopt, ServerWork(server)};
       if (!Fits(server, model)) {
+        const bool fast = server.at_hand.contains(model);
+        if (!fast && evictions_left_ <= 0 && Copies(model) > 0) {
+          continue;
+        }
         place.victim = Victim(server, model);
         if (!place.victim) {
           continue;
@@ -248,6 +272,9 @@
 
   void Carry(const Place& place, const ModelId& model, MoveReason reason) {
     if (place.victim) {
+      if (!input_.servers.at(place.server).at_hand.contains(model)) {
+        --evictions_left_;
+      }
       --copies_[*place.victim];
       // The load follows once the memory is free; it counts from now.
       ++copies_[model];
@@ -392,6 +419,7 @@
 
   const CopyPlanInput& input_;
   int loads_left_;
+  int evictions_left_ = 0;
   std::map<ModelId, int> copies_;
   std::map<ModelTarget, int> adapter_copies_;
   std::map<ModelId, int> targets_;
--- a/libs/serving/src/forecast.cc
+++ b/libs/serving/src/forecast.cc
@@ -10,6 +10,8 @@
 // the longer, the less a burst of arrivals passes for one.
 constexpr double kLevelSeconds = 0.8;
 constexpr double kTrendSeconds = 1.5;
+// How far ahead a falling demand is followed.
+constexpr double kFallingSeconds = 1.0;
 // Updates closer together than this are not worth one.
 constexpr Duration kLeastInterval = std::chrono::milliseconds(200);
 // Models with less work than this are forgotten.
@@ -60,7 +62,9 @@
   Demand demand;
   demand.requests = requests_;
   for (const auto& [model, series] : work_) {
-    const double work = series.level + series.trend * seconds;
+    const double horizon =
+        series.trend < 0 ? std::min(seconds, kFallingSeconds) : seconds;
+    const double work = series.level + series.trend * horizon;
     demand.work.emplace(model, std::clamp(work, 0.0, total));
   }
   return demand;
--- a/libs/serving/src/orders.cc
+++ b/libs/serving/src/orders.cc
@@ -14,8 +14,8 @@
 constexpr Duration kLoadPoll = milliseconds(400);
 // Part of the weight store's rate that is used, and loads that may begin at
 // once: the ceiling counts over sliding windows.
-constexpr double kUsedRate = 0.9;
-constexpr double kBurstLoads = 2.0;
+constexpr double kUsedRate = 0.95;
+constexpr double kBurstLoads = 3.0;
 
 }  // namespace
 
@@ -158,6 +158,7 @@
   }
   // Orders for a model keep the server busy until they are carried out.
   view.loading = order.target.model;
+  view.unloading = order.action == OrderAction::kUnload;
   view.load_done = now + load_time;
   state.ask_at = view.load_done;
   if (order.action == OrderAction::kUnload) {
