--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -19,8 +19,6 @@
 constexpr Duration kStopMargin = milliseconds(400);
 constexpr milliseconds kSettingsPoll{1'000};
 
-// Far below the bound on draining; servers change in groups.
-constexpr milliseconds kChangesPause{500};
 // The store answers in milliseconds; slow spells take a hundred times that.
 constexpr milliseconds kStoreTimeout{1'500};
 constexpr milliseconds kStoreConnectTimeout{500};
@@ -134,7 +132,8 @@
            [this] { peers_.NoteStore(false); },
            [this](Duration) { peers_.NoteStore(true); }}),
       servers_follower_(
-          context_, store_, std::string(adapter::kServersPrefix), kChangesPause,
+          context_, store_, std::string(adapter::kServersPrefix),
+          milliseconds(0),
           {[this](const std::vector<store::KeyValue>& items) {
              OnServersListing(items);
            },
@@ -144,7 +143,7 @@
              state_.directory.StoreRegained(MonotonicNow());
            }}),
       own_follower_(
-          context_, store_, state_.settings.store_prefix, kChangesPause,
+          context_, store_, state_.settings.store_prefix, milliseconds(0),
           {[this](const std::vector<store::KeyValue>& items) {
              OnOwnListing(items);
            },
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -50,10 +50,23 @@
   void OnMessage(const InstanceId& from, MessageKind kind,
                  std::string_view bytes);
   void OnStatus(const InstanceId& from, const StatusMessage& status);
+  void OnDomainStatus(const InstanceId& from,
+                      const DomainStatusMessage& message);
+  std::map<ServerId, serving::PeerLoad> LoadsOf(
+      const StatusMessage& status) const;
+  /** The name under which another domain's sums are kept. */
+  static InstanceId StandInFor(const DomainId& domain);
+  /** Reads the registry again if a peer has known more for some time. */
+  void CompareRevision(const InstanceId& from, std::int64_t revision);
   void TickStatus();
   void TickDemand();
   void NotePeers(TimePoint now);
-  StatusMessage MakeStatus();
+  StatusMessage MakeStatus(std::uint64_t incarnation,
+                           const std::map<ServerId, serving::PeerLoad>& loads,
+                           std::vector<serving::TeamSpending> spending) const;
+  void SendDomainStatus(TimePoint now,
+                        const std::map<ServerId, serving::PeerLoad>& loads,
+                        const std::vector<serving::TeamSpending>& spending);
   void SendStatus(TimePoint now);
   void SendStatusSoon();
 
@@ -78,7 +91,8 @@
   boost::asio::steady_timer demand_timer_;
   boost::asio::steady_timer settings_timer_;
   boost::asio::steady_timer stop_timer_;
-  std::map<InstanceId, std::string> instances_;
+  serving::DomainSummary summary_;
+  std::map<InstanceId, Registration> instances_;
   std::optional<store::KeyValue> holder_;
   std::map<std::uint64_t, ServerId> server_of_hash_;
   std::map<InstanceId, TimePoint> behind_since_;
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -10,11 +10,16 @@
 // A burst of charges is told sooner, but not more often than this.
 constexpr Duration kShortestStatusInterval = milliseconds(40);
 constexpr milliseconds kDemandInterval{500};
+// Far below the bound on draining; servers change in groups.
+constexpr milliseconds kChangesPause{400};
+constexpr milliseconds kPausePerInstance{8};
+constexpr milliseconds kLongestChangesPause{1'000};
 // A peer that knows newer entries for so long shows that the watch here hears
 // nothing.
-constexpr Duration kBehindFor = milliseconds(1'000);
+constexpr Duration kBehindFor = milliseconds(2'000);
 // Fits into a datagram beside the spending of some teams.
-constexpr std::size_t kMostLoads = 48;
+constexpr std::size_t kMostLoads = 44;
+constexpr std::size_t kMostTeams = 16;
 
 template <typename T>
 T Clamp(std::int64_t value) {
@@ -153,7 +158,7 @@
   }
   const InstanceId id(key.substr(prefix.size()));
   if (address) {
-    instances_[id] = *address;
+    instances_[id] = Registration::FromText(*address);
   } else {
     instances_.erase(id);
   }
@@ -167,6 +172,11 @@
         OnStatus(from, *status);
       }
       return;
+    case MessageKind::kDomainStatus:
+      if (const auto status = peers::Unpack<DomainStatusMessage>(bytes)) {
+        OnDomainStatus(from, *status);
+      }
+      return;
     case MessageKind::kDemand:
       if (const auto demand = peers::Unpack<DemandMessage>(bytes)) {
         placement_.OnDemand(from, *demand);
@@ -187,8 +197,8 @@
   }
 }
 
-void Edge::OnStatus(const InstanceId& from, const StatusMessage& status) {
-  const TimePoint now = MonotonicNow();
+std::map<ServerId, serving::PeerLoad> Edge::LoadsOf(
+    const StatusMessage& status) const {
   std::map<ServerId, serving::PeerLoad> loads;
   for (const ServerLoadItem& item : status.loads) {
     const auto server = server_of_hash_.find(item.server);
@@ -198,33 +208,71 @@
           serving::PeerLoad{item.in_flight, milliseconds(item.unread_ms)});
     }
   }
+  return loads;
+}
+
+void Edge::OnStatus(const InstanceId& from, const StatusMessage& status) {
+  const TimePoint now = MonotonicNow();
+  const auto loads = LoadsOf(status);
   state_.balancer.OnPeerLoads(now, from, loads);
   state_.allowances.OnPeer(now, from, status.incarnation, status.spending);
-  if (status.servers_revision <= servers_follower_.newest()) {
+  summary_.OnMember(now, from, status.incarnation, loads, status.spending);
+  CompareRevision(from, status.servers_revision);
+}
+
+void Edge::OnDomainStatus(const InstanceId& from,
+                          const DomainStatusMessage& message) {
+  if (DomainId(message.domain) == state_.settings.failure_domain) {
+    return;  // an echo of the own domain's sums
+  }
+  const TimePoint now = MonotonicNow();
+  const InstanceId standin = StandInFor(DomainId(message.domain));
+  state_.balancer.OnPeerLoads(now, standin, LoadsOf(message.sums));
+  state_.allowances.OnPeer(now, standin, message.sums.incarnation,
+                           message.sums.spending);
+  CompareRevision(standin, message.sums.servers_revision);
+  const auto reachable = peers_.Reachable();
+  const auto sender = reachable.find(from);
+  if (sender != reachable.end() &&
+      sender->second != state_.settings.failure_domain) {
+    peers_.SendToOwnDomain(MessageKind::kDomainStatus, message);
+  }
+}
+
+InstanceId Edge::StandInFor(const DomainId& domain) {
+  // No instance has a space in its name.
+  return InstanceId("domain " + domain.value());
+}
+
+void Edge::CompareRevision(const InstanceId& from, std::int64_t revision) {
+  const TimePoint now = MonotonicNow();
+  if (revision <= servers_follower_.newest()) {
     behind_since_.erase(from);
     return;
   }
   const TimePoint since = behind_since_.try_emplace(from, now).first->second;
   if (now - since >= kBehindFor && !servers_follower_.away()) {
     behind_since_.clear();
-    telemetry::Log(
-        Event::kDependencyLost,
-        "a peer knows newer entries; reading them again",
-        {{"dependency", "store"},
-         {"peer", from.value()},
-         {"revision", std::to_string(servers_follower_.newest())},
-         {"peer_revision", std::to_string(status.servers_revision)}});
+    telemetry::Log(Event::kDependencyLost,
+                   "a peer knows newer entries; reading them again",
+                   {{"dependency", "store"},
+                    {"peer", from.value()},
+                    {"revision", std::to_string(servers_follower_.newest())},
+                    {"peer_revision", std::to_string(revision)}});
     servers_follower_.Refresh();
     own_follower_.Refresh();
     configuration_follower_.Refresh();
   }
 }
 
-StatusMessage Edge::MakeStatus() {
+StatusMessage Edge::MakeStatus(
+    std::uint64_t incarnation,
+    const std::map<ServerId, serving::PeerLoad>& loads,
+    std::vector<serving::TeamSpending> spending) const {
   StatusMessage status;
-  status.incarnation = incarnation_;
+  status.incarnation = incarnation;
   status.servers_revision = servers_follower_.newest();
-  for (const auto& [server, load] : state_.balancer.OwnLoads()) {
+  for (const auto& [server, load] : loads) {
     if (status.loads.size() == kMostLoads) {
       break;
     }
@@ -232,7 +280,10 @@
         {StableHash(server.value()), Clamp<std::uint16_t>(load.in_flight),
          Clamp<std::uint16_t>(load.unread / milliseconds(1))});
   }
-  status.spending = state_.allowances.Own(MonotonicNow());
+  if (spending.size() > kMostTeams) {
+    spending.resize(kMostTeams);
+  }
+  status.spending = std::move(spending);
   return status;
 }
 
@@ -248,9 +299,26 @@
 }
 
 void Edge::NotePeers(TimePoint now) {
-  const auto peers = peers_.PossiblyServing(now);
-  state_.allowances.SetPeers(now, peers);
-  state_.retries.SetInstances(peers.size() + 1);
+  const auto serving = peers_.PossiblyServing(now);
+  std::map<InstanceId, int> standins;
+  for (const auto& [instance, domain] : serving) {
+    if (domain == state_.settings.failure_domain) {
+      standins[instance] = 1;
+    } else {
+      ++standins[StandInFor(domain)];
+    }
+  }
+  state_.allowances.SetPeers(now, standins);
+  const std::size_t fleet = serving.size() + 1;
+  state_.retries.SetInstances(fleet);
+  // Each change wakes all instances, so that calls grow with the square of the
+  // fleet unless each waits longer in a larger one.
+  const auto pause = std::min(
+      kLongestChangesPause,
+      kChangesPause + kPausePerInstance * static_cast<std::int64_t>(fleet));
+  servers_follower_.SetPause(pause);
+  own_follower_.SetPause(pause);
+  placement_.SetFleetSize(fleet);
 }
 
 void Edge::SendStatusSoon() {
@@ -262,7 +330,11 @@
 
 void Edge::SendStatus(TimePoint now) {
   status_sent_ = now;
-  peers_.SendToAll(MessageKind::kStatus, MakeStatus());
+  const auto loads = state_.balancer.OwnLoads();
+  const auto spending = state_.allowances.Own(now);
+  peers_.SendToOwnDomain(MessageKind::kStatus,
+                         MakeStatus(incarnation_, loads, spending));
+  SendDomainStatus(now, loads, spending);
   status_timer_.expires_after(kStatusInterval);
   status_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
@@ -271,6 +343,25 @@
   });
 }
 
+void Edge::SendDomainStatus(
+    TimePoint now, const std::map<ServerId, serving::PeerLoad>& loads,
+    const std::vector<serving::TeamSpending>& spending) {
+  const auto delegates = peers_.Delegates();
+  const DomainId& own = state_.settings.failure_domain;
+  if (delegates.at(own) != state_.settings.instance) {
+    return;
+  }
+  const DomainStatusMessage message{
+      own.value(),
+      MakeStatus(StableHash(state_.settings.instance.value(), incarnation_),
+                 summary_.Loads(now, loads), summary_.Spending(spending))};
+  for (const auto& [domain, delegate] : delegates) {
+    if (domain != own) {
+      peers_.Send(delegate, MessageKind::kDomainStatus, message);
+    }
+  }
+}
+
 void Edge::TickDemand() {
   const TimePoint now = MonotonicNow();
   if (holder_) {
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -17,6 +17,7 @@
   kDemand = 2,
   kPlacement = 3,
   kAdapterWanted = 4,
+  kDomainStatus = 5,
 };
 
 /** What a sender has under way at one server. */
@@ -34,7 +35,7 @@
   }
 };
 
-/** Goes to every peer some times a second. */
+/** Goes to every peer of the own domain some times a second. */
 struct StatusMessage {
   std::uint64_t incarnation = 0;
   /** The newest change of the registry that the sender has seen. */
@@ -50,6 +51,20 @@
   }
 };
 
+/** The sums over a domain; goes to the other domains' delegates, and on. */
+struct DomainStatusMessage {
+  std::string domain;
+  StatusMessage sums;
+
+  friend bool operator==(const DomainStatusMessage&,
+                         const DomainStatusMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(domain, sums);
+  }
+};
+
 /** Demand for one model, or with a name for an adapter of it. */
 struct DemandItem {
   std::string model;
--- a/apps/edge/peer_group.cc
+++ b/apps/edge/peer_group.cc
@@ -110,16 +110,25 @@
   }
 }
 
+Registration Registration::FromText(const std::string& text) {
+  const std::size_t space = text.find(' ');
+  Registration registration{text.substr(0, space), {}};
+  if (space != std::string::npos) {
+    registration.domain = DomainId(text.substr(space + 1));
+  }
+  return registration;
+}
+
 void PeerGroup::SetRegistered(
-    const std::map<InstanceId, std::string>& instances) {
+    const std::map<InstanceId, Registration>& instances) {
   registered_ = instances;
   if (!node_) {
     return;
   }
   std::vector<std::string> addresses;
-  for (const auto& [instance, address] : registered_) {
+  for (const auto& [instance, registration] : registered_) {
     if (instance != settings_.instance) {
-      addresses.push_back(address);
+      addresses.push_back(registration.address);
     }
   }
   node_->SetInstanceHints(std::move(addresses));
@@ -152,24 +161,43 @@
   }
 }
 
-std::vector<InstanceId> PeerGroup::Reachable() const {
-  std::vector<InstanceId> reachable;
+std::map<InstanceId, DomainId> PeerGroup::Reachable() const {
+  std::map<InstanceId, DomainId> reachable;
   if (!node_) {
     return reachable;
   }
   for (const peers::Member& member : node_->Members()) {
     if (member.record.state != peers::MemberState::kDead &&
         member.record.state != peers::MemberState::kLeft) {
-      reachable.push_back(member.record.instance);
+      reachable.emplace(member.record.instance, member.record.domain);
     }
   }
   return reachable;
 }
 
-std::vector<InstanceId> PeerGroup::PossiblyServing(TimePoint now) const {
-  std::set<InstanceId> serving;
-  for (const auto& [instance, address] : registered_) {
-    serving.insert(instance);
+std::map<DomainId, InstanceId> PeerGroup::Delegates() const {
+  std::map<DomainId, InstanceId> delegates;
+  delegates.emplace(settings_.failure_domain, settings_.instance);
+  if (!node_) {
+    return delegates;
+  }
+  for (const peers::Member& member : node_->Members()) {
+    if (member.record.state != peers::MemberState::kAlive) {
+      continue;
+    }
+    const auto [delegate, first] =
+        delegates.emplace(member.record.domain, member.record.instance);
+    if (!first && member.record.instance < delegate->second) {
+      delegate->second = member.record.instance;
+    }
+  }
+  return delegates;
+}
+
+std::map<InstanceId, DomainId> PeerGroup::PossiblyServing(TimePoint now) const {
+  std::map<InstanceId, DomainId> serving;
+  for (const auto& [instance, registration] : registered_) {
+    serving.emplace(instance, registration.domain);
   }
   if (node_) {
     for (const peers::Member& member : node_->Members()) {
@@ -180,15 +208,15 @@
       }
       if (member.record.state != peers::MemberState::kDead) {
         dead_since_.erase(id);
-        serving.insert(id);
+        serving.emplace(id, member.record.domain);
       } else if (now - dead_since_.try_emplace(id, now).first->second <
                  kForgetDeadAfter) {
-        serving.insert(id);
+        serving.emplace(id, member.record.domain);
       }
     }
   }
   serving.erase(settings_.instance);
-  return {serving.begin(), serving.end()};
+  return serving;
 }
 
 void PeerGroup::Leave() {
--- a/apps/edge/peer_group.h
+++ b/apps/edge/peer_group.h
@@ -15,6 +15,15 @@
 
 namespace figwell::edge {
 
+/** What an instance registers in the store. */
+struct Registration {
+  std::string address;  ///< `IP:PORT` for peers
+  DomainId domain;
+
+  std::string ToText() const { return address + " " + domain.value(); }
+  static Registration FromText(const std::string& text);
+};
+
 struct PeerCallbacks {
   std::function<void(const InstanceId&, MessageKind, std::string_view)>
       on_message;
@@ -35,8 +44,8 @@
             PeerCallbacks callbacks);
 
   void Start();
-  /** Addresses of the instances that are registered in the store. */
-  void SetRegistered(const std::map<InstanceId, std::string>& instances);
+  /** The instances that are registered in the store. */
+  void SetRegistered(const std::map<InstanceId, Registration>& instances);
   /** What is in force here, for peers that are behind. */
   void SetConfiguration(std::int64_t number, const std::string& document);
   /** Whether the store answered. */
@@ -49,15 +58,29 @@
   template <typename Message>
   void SendToAll(MessageKind kind, const Message& message) {
     const std::string bytes = peers::Pack(message);
-    for (const InstanceId& peer : Reachable()) {
+    for (const auto& [peer, domain] : Reachable()) {
       SendBytes(peer, kind, bytes);
     }
   }
+  template <typename Message>
+  void SendToOwnDomain(MessageKind kind, const Message& message) {
+    const std::string bytes = peers::Pack(message);
+    for (const auto& [peer, domain] : Reachable()) {
+      if (domain == settings_.failure_domain) {
+        SendBytes(peer, kind, bytes);
+      }
+    }
+  }
 
-  /** Peers that have not left or been given up. */
-  std::vector<InstanceId> Reachable() const;
+  /** Peers that have not left or been given up, with their domains. */
+  std::map<InstanceId, DomainId> Reachable() const;
+  /**
+   * The one instance of each domain that speaks for it, by name the first of
+   * those not under suspicion; the own domain's may be this one.
+   */
+  std::map<DomainId, InstanceId> Delegates() const;
   /** All others that may be serving: registered, or not long out of sight. */
-  std::vector<InstanceId> PossiblyServing(TimePoint now) const;
+  std::map<InstanceId, DomainId> PossiblyServing(TimePoint now) const;
 
   void Leave();
 
@@ -77,7 +100,7 @@
   PeerCallbacks callbacks_;
   boost::asio::steady_timer timer_;
   std::unique_ptr<peers::PeerNode> node_;
-  std::map<InstanceId, std::string> registered_;
+  std::map<InstanceId, Registration> registered_;
   std::int64_t number_ = 0;
   std::string document_;
   /** When a member was first seen dead. */
--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -11,6 +11,14 @@
 using telemetry::Event;
 
 constexpr milliseconds kTick{40};
+// An instance that died is taken off the list after this; peers notice sooner.
+constexpr milliseconds kRegistrationTtl{10'000};
+constexpr Duration kRegistrationRenewal = milliseconds(3'000);
+constexpr Duration kRegistrationRetry = milliseconds(1'000);
+// Instances try for a free key at different moments, so that most see that
+// someone else has it.
+constexpr Duration kTakeoverDelayPerInstance = milliseconds(10);
+constexpr Duration kLongestTakeoverDelay = milliseconds(500);
 // Bounds of an order's exchange: engines answer at once.
 constexpr milliseconds kOrderTimeout{300};
 constexpr milliseconds kReportTimeout{600};
@@ -96,10 +104,7 @@
   if (const auto action = lease_.Tick(now)) {
     std::visit([this](const auto& call) { Carry(call); }, *action);
   }
-  if (lease_.lease() != 0 && lease_.lease() != registered_lease_ &&
-      !registering_) {
-    Register();
-  }
+  TickRegistration(now);
 }
 
 void PlacementHost::Carry(const serving::GrantLease& action) {
@@ -136,23 +141,63 @@
               });
 }
 
-void PlacementHost::Register() {
+void PlacementHost::SetFleetSize(std::size_t instances) {
+  const auto longest = std::min<std::int64_t>(
+      kLongestTakeoverDelay.count(),
+      kTakeoverDelayPerInstance.count() * static_cast<std::int64_t>(instances));
+  lease_.SetTakeoverDelay(Duration(static_cast<std::int64_t>(
+      state_.random.Below(static_cast<std::uint64_t>(longest)))));
+}
+
+void PlacementHost::TickRegistration(TimePoint now) {
+  if (registering_ || now < registration_due_) {
+    return;
+  }
   registering_ = true;
-  const store::LeaseId lease = lease_.lease();
+  if (registration_lease_ != 0) {
+    store_.KeepLease(registration_lease_, [this](const Result<void>& kept) {
+      OnRegistrationAnswer(MonotonicNow(),
+                           kept ? std::nullopt : std::optional(kept.error()));
+    });
+    return;
+  }
+  store_.GrantLease(kRegistrationTtl,
+                    [this](const Result<store::LeaseId>& lease) {
+                      if (!lease) {
+                        OnRegistrationAnswer(MonotonicNow(), lease.error());
+                        return;
+                      }
+                      registration_lease_ = *lease;
+                      Register();
+                    });
+}
+
+void PlacementHost::Register() {
   adapter::Change change;
   change.writes.push_back({InstancesPrefix() + state_.settings.instance.value(),
-                           state_.settings.listen_peers, lease});
-  store_.Commit(change,
-                [this, lease](const Result<adapter::ChangeResult>& result) {
-                  registering_ = false;
-                  if (result && result->committed) {
-                    registered_lease_ = lease;
-                  } else if (!result) {
-                    telemetry::Log(Event::kDependencyLost,
-                                   "not registered: " + result.error().message,
-                                   {{"dependency", "store"}});
-                  }
-                });
+                           Registration{state_.settings.listen_peers,
+                                        state_.settings.failure_domain}
+                               .ToText(),
+                           registration_lease_});
+  store_.Commit(change, [this](const Result<adapter::ChangeResult>& result) {
+    OnRegistrationAnswer(MonotonicNow(),
+                         result ? std::nullopt : std::optional(result.error()));
+  });
+}
+
+void PlacementHost::OnRegistrationAnswer(TimePoint now,
+                                         const std::optional<Error>& error) {
+  registering_ = false;
+  registration_due_ = now + (error ? kRegistrationRetry : kRegistrationRenewal);
+  if (!error) {
+    return;
+  }
+  telemetry::Log(Event::kDependencyLost, "registration: " + error->message,
+                 {{"dependency", "store"}});
+  // A write whose outcome is open is repeated under a new lease.
+  if (error->code != ErrorCode::kUnavailable) {
+    registration_lease_ = 0;
+  }
 }
 
 void PlacementHost::OnHolder(const std::optional<store::KeyValue>& holder) {
@@ -183,16 +228,21 @@
 }
 
 void PlacementHost::Resign() {
+  const store::LeaseId placement = lease_.lease();
   lease_.Resign();
-  if (lease_.lease() != 0) {
-    store_.EndLease(lease_.lease(), [](const Result<void>& ended) {
+  for (const store::LeaseId lease : {placement, registration_lease_}) {
+    if (lease == 0) {
+      continue;
+    }
+    store_.EndLease(lease, [](const Result<void>& ended) {
       if (!ended) {
         telemetry::Log(Event::kDependencyLost,
-                       "the lease runs out by itself: " + ended.error().message,
+                       "a lease runs out by itself: " + ended.error().message,
                        {{"dependency", "store"}});
       }
     });
   }
+  registering_ = true;  // registers no more
 }
 
 // ------------------------------------------------------------------- demand
--- a/apps/edge/placement_host.h
+++ b/apps/edge/placement_host.h
@@ -32,6 +32,7 @@
   void AskForAdapter(const serving::ModelTarget& target);
   /** Ends the lease: another process may lead at once. */
   void Resign();
+  void SetFleetSize(std::size_t instances);
 
   std::string HolderKey() const;
   std::string InstancesPrefix() const;
@@ -49,7 +50,9 @@
   void Carry(const serving::KeepLease& action);
   void Carry(const serving::TakeKey& action);
   void Carry(const serving::ReadKey& action);
+  void TickRegistration(TimePoint now);
   void Register();
+  void OnRegistrationAnswer(TimePoint now, const std::optional<Error>& error);
   void NoteLeading(TimePoint now);
 
   void ReadReports(TimePoint now, const ServiceId& service);
@@ -79,7 +82,8 @@
   std::string holder_value_;
   boost::asio::steady_timer timer_;
   serving::PlacementLease lease_;
-  store::LeaseId registered_lease_ = 0;
+  store::LeaseId registration_lease_ = 0;
+  TimePoint registration_due_;
   bool registering_ = false;
   bool led_ = false;
   std::optional<InstanceId> leader_;
--- a/apps/edge/store_follower.h
+++ b/apps/edge/store_follower.h
@@ -37,6 +37,7 @@
                 FollowerCallbacks callbacks);
 
   void Start();
+  void SetPause(std::chrono::milliseconds pause) { pause_ = pause; }
   /** Reads all items again now, besides any call that is under way. */
   void Refresh();
 
--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -11,6 +11,7 @@
  *   balancer.h     Balancer: chooses the server for a request
  *   admission.h    whether a request can still be on time, and Retry-After
  *   allowance.h    Allowances: teams' rates and bursts over all instances
+ *   summary.h      DomainSummary: what a domain's instances do together
  *   attempts.h     RetryBudget, and what may follow a failed attempt
  *   leadership.h   PlacementLease: which instance orders the servers
  *   copies.h       CopyPlanner: which server should hold which model
@@ -27,5 +28,6 @@
 #include "figwell/serving/directory.h"
 #include "figwell/serving/leadership.h"
 #include "figwell/serving/orders.h"
+#include "figwell/serving/summary.h"
 
 #endif  // FIGWELL_SERVING_H_
--- a/libs/serving/include/figwell/serving/allowance.h
+++ b/libs/serving/include/figwell/serving/allowance.h
@@ -61,8 +61,11 @@
    */
   void Configure(TimePoint now, const std::map<TeamId, TeamSpec>& teams);
 
-  /** All other instances that may be charging, heard or not. */
-  void SetPeers(TimePoint now, const std::vector<InstanceId>& peers);
+  /**
+   * All others that may be charging, heard or not, and how many instances each
+   * stands for.
+   */
+  void SetPeers(TimePoint now, const std::map<InstanceId, int>& peers);
   void OnPeer(TimePoint now, const InstanceId& peer, std::uint64_t incarnation,
               const std::vector<TeamSpending>& spending);
 
@@ -95,11 +98,13 @@
     std::uint64_t incarnation = 0;
     std::optional<TimePoint> heard;
     std::map<std::uint64_t, Tokens> spent;
+    int instances = 1;
   };
 
   void Advance(TimePoint now);
   /** The part of the limits that belongs to the instances heard. */
   double Part(TimePoint now) const;
+  int Instances() const;
 
   std::map<TeamId, Bucket> buckets_;
   std::map<InstanceId, Peer> peers_;
--- a/libs/serving/include/figwell/serving/leadership.h
+++ b/libs/serving/include/figwell/serving/leadership.h
@@ -55,8 +55,8 @@
 using LeadershipAction = std::variant<GrantLease, KeepLease, TakeKey, ReadKey>;
 
 /**
- * Keeps this process's lease at the store and, when nobody else has it, the
- * key that makes it the one instance that orders servers. It leads from
+ * Takes the key that makes this process the one instance that orders servers,
+ * under a lease that it has only while it wants or has the key. It leads from
  * `separation + thaw` after it took the key until its lease could have ended
  * by the clock of this process, counted from the moment the last renewal that
  * succeeded was sent. At most one call is under way at a time.
@@ -88,6 +88,8 @@
 
   /** What the watch says of the key; nullopt: it does not exist. */
   void OnHolder(TimePoint now, const std::optional<store::KeyValue>& holder);
+  /** How long this process lets others try first when the key is free. */
+  void SetTakeoverDelay(Duration delay) { takeover_delay_ = delay; }
   /** Takes the key no more; a leader stops leading. */
   void Resign();
 
@@ -100,7 +102,7 @@
    * orders.
    */
   store::Revision fence() const { return fence_; }
-  /** The lease, for other keys that end with this process; 0 if none. */
+  /** The lease of the key; 0 if none. */
   store::LeaseId lease() const { return lease_; }
 
  private:
@@ -115,6 +117,7 @@
   Call call_ = Call::kNone;
   TimePoint call_sent_;
   TimePoint next_call_;
+  Duration takeover_delay_{0};
   store::LeaseId lease_ = 0;
   TimePoint renewed_;
   std::optional<TimePoint> taken_at_;
--- a/libs/serving/src/allowance.cc
+++ b/libs/serving/src/allowance.cc
@@ -1,7 +1,6 @@
 #include "figwell/serving/allowance.h"
 
 #include <algorithm>
-#include <set>
 
 namespace figwell::serving {
 namespace {
@@ -22,13 +21,21 @@
 }  // namespace
 
 double Allowances::Part(TimePoint now) const {
-  std::size_t heard = 1;
+  int heard = 1;
   for (const auto& [id, peer] : peers_) {
     if (peer.heard && *peer.heard + kSpendingSilence >= now) {
-      ++heard;
+      heard += peer.instances;
     }
   }
-  return static_cast<double>(heard) / static_cast<double>(peers_.size() + 1);
+  return static_cast<double>(heard) / Instances();
+}
+
+int Allowances::Instances() const {
+  int instances = 1;
+  for (const auto& [id, peer] : peers_) {
+    instances += peer.instances;
+  }
+  return instances;
 }
 
 void Allowances::Advance(TimePoint now) {
@@ -85,14 +92,14 @@
   }
 }
 
-void Allowances::SetPeers(TimePoint now, const std::vector<InstanceId>& peers) {
+void Allowances::SetPeers(TimePoint now,
+                          const std::map<InstanceId, int>& peers) {
   Advance(now);
   peers_known_ = true;
-  const std::set<InstanceId> present(peers.begin(), peers.end());
-  std::erase_if(
-      peers_, [&](const auto& item) { return !present.contains(item.first); });
-  for (const InstanceId& id : peers) {
-    peers_.try_emplace(id);
+  std::erase_if(peers_,
+                [&](const auto& item) { return !peers.contains(item.first); });
+  for (const auto& [id, instances] : peers) {
+    peers_[id].instances = instances;
   }
   Advance(now + Duration{1});
 }
@@ -118,12 +125,15 @@
     const TeamSpending& news = *item->second;
     const auto before = peer.spent.find(bucket.hash);
     if (continues && before != peer.spent.end()) {
-      bucket.level -= static_cast<double>(news.spent - before->second);
+      // Reports may overtake each other.
+      bucket.level -=
+          static_cast<double>(std::max<Tokens>(0, news.spent - before->second));
     } else if (!bucket.joined) {
       bucket.level = std::min(bucket.level, static_cast<double>(news.level));
     }
     bucket.joined = true;
-    peer.spent[bucket.hash] = news.spent;
+    Tokens& known = peer.spent[bucket.hash];
+    known = continues ? std::max(known, news.spent) : news.spent;
   }
 }
 
@@ -181,7 +191,7 @@
 }
 
 bool Allowances::ReportIsUrgent() const {
-  const auto instances = static_cast<Tokens>(peers_.size() + 1);
+  const Tokens instances = Instances();
   return std::any_of(buckets_.begin(), buckets_.end(), [&](const auto& item) {
     const Bucket& bucket = item.second;
     return bucket.rate > 0 &&
--- a/libs/serving/src/leadership.cc
+++ b/libs/serving/src/leadership.cc
@@ -29,6 +29,14 @@
     call_sent_ = now;
     return action;
   };
+  const bool wants_key = vacant_ && !resigned_;
+  if (!taken_at_ && !unsure_ && !wants_key) {
+    lease_ = 0;  // it runs out by itself
+    return std::nullopt;
+  }
+  if (lease_ != 0 && now >= renewed_ + kTtl) {
+    LoseLease(now);
+  }
   if (lease_ == 0) {
     return send(Call::kGrant,
                 GrantLease{std::max(kTtl, bounds_.shortest_lease)});
@@ -39,7 +47,7 @@
   if (unsure_) {
     return send(Call::kRead, ReadKey{key_});
   }
-  if (vacant_ && !taken_at_ && !resigned_) {
+  if (wants_key && !taken_at_) {
     return send(Call::kTake, TakeKey{key_, value_, lease_});
   }
   return std::nullopt;
@@ -102,6 +110,9 @@
 
 void PlacementLease::OnHolder(TimePoint now,
                               const std::optional<store::KeyValue>& holder) {
+  if (!vacant_ && !holder && !taken_at_) {
+    next_call_ = std::max(next_call_, now + takeover_delay_);
+  }
   vacant_ = !holder.has_value();
   if (holder && holder->value == value_) {
     if (!taken_at_) {
--- /dev/null
+++ b/libs/serving/src/summary.cc
@@ -0,0 +1,64 @@
+#include "figwell/serving/summary.h"
+
+#include <algorithm>
+
+namespace figwell::serving {
+namespace {
+
+// Loads of a member count for some of its reports' intervals.
+constexpr Duration kLoadLifetime = std::chrono::milliseconds(1'000);
+
+void Add(std::map<ServerId, PeerLoad>& sum,
+         const std::map<ServerId, PeerLoad>& loads) {
+  for (const auto& [server, load] : loads) {
+    PeerLoad& total = sum[server];
+    total.in_flight += load.in_flight;
+    total.unread += load.unread;
+  }
+}
+
+}  // namespace
+
+void DomainSummary::OnMember(TimePoint now, const InstanceId& id,
+                             std::uint64_t incarnation,
+                             const std::map<ServerId, PeerLoad>& loads,
+                             const std::vector<TeamSpending>& spending) {
+  Member& member = members_[id];
+  const bool restarted = member.incarnation != incarnation;
+  if (restarted) {
+    member.spent.clear();
+  }
+  member.incarnation = incarnation;
+  member.heard = now;
+  member.loads = loads;
+  for (const TeamSpending& item : spending) {
+    Tokens& before = member.spent[item.team];
+    spent_[item.team] += std::max<Tokens>(0, item.spent - before);
+    before = std::max(before, item.spent);
+  }
+}
+
+std::map<ServerId, PeerLoad> DomainSummary::Loads(
+    TimePoint now, const std::map<ServerId, PeerLoad>& own) const {
+  std::map<ServerId, PeerLoad> sum = own;
+  for (const auto& [id, member] : members_) {
+    if (member.heard + kLoadLifetime >= now) {
+      Add(sum, member.loads);
+    }
+  }
+  return sum;
+}
+
+std::vector<TeamSpending> DomainSummary::Spending(
+    const std::vector<TeamSpending>& own) const {
+  std::vector<TeamSpending> sum = own;
+  for (TeamSpending& item : sum) {
+    const auto members = spent_.find(item.team);
+    if (members != spent_.end()) {
+      item.spent += members->second;
+    }
+  }
+  return sum;
+}
+
+}  // namespace figwell::serving
--- /dev/null
+++ b/libs/serving/tests/summary_test.cc
@@ -0,0 +1,45 @@
+#include "figwell/serving/summary.h"
+
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+const InstanceId kOne("one");
+const InstanceId kTwo("two");
+constexpr std::uint64_t kTeam = 7;
+
+TEST_CASE("loads of a domain are the sum of those heard lately") {
+  DomainSummary summary;
+  const ServerId server("s");
+  summary.OnMember(At(0), kOne, 1, {{server, {2, milliseconds(30)}}}, {});
+  summary.OnMember(At(900), kTwo, 1, {{server, {1, milliseconds(10)}}}, {});
+  const std::map<ServerId, PeerLoad> own = {{server, {4, milliseconds(5)}}};
+  CHECK(summary.Loads(At(950), own).at(server) ==
+        PeerLoad{7, milliseconds(45)});
+  CHECK(summary.Loads(At(1'500), own).at(server) ==
+        PeerLoad{5, milliseconds(15)});
+}
+
+TEST_CASE("charges of a domain never go back") {
+  DomainSummary summary;
+  const auto total = [&] { return summary.Spending({{kTeam, 10, 0}})[0].spent; };
+  summary.OnMember(At(0), kOne, 1, {}, {{kTeam, 100, 0}});
+  summary.OnMember(At(0), kTwo, 1, {}, {{kTeam, 50, 0}});
+  CHECK(total() == 160);
+  // A report that was overtaken, and one after a refund.
+  summary.OnMember(At(1), kOne, 1, {}, {{kTeam, 90, 0}});
+  CHECK(total() == 160);
+  summary.OnMember(At(2), kOne, 1, {}, {{kTeam, 130, 0}});
+  CHECK(total() == 190);
+  // A restart counts from 0 again.
+  summary.OnMember(At(3), kOne, 2, {}, {{kTeam, 5, 0}});
+  CHECK(total() == 195);
+}
+
+}  // namespace
+}  // namespace figwell::serving
