--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -10,10 +10,11 @@
 // A burst of charges is told sooner, but not more often than this.
 constexpr Duration kShortestStatusInterval = milliseconds(40);
 constexpr milliseconds kDemandInterval{500};
-// Far below the bound on draining; servers change in groups.
+// Servers change in groups; at most this part of the time in which a server's
+// leaving has to be known.
 constexpr milliseconds kChangesPause{400};
-constexpr milliseconds kPausePerInstance{8};
-constexpr milliseconds kLongestChangesPause{1'000};
+constexpr milliseconds kPausePerInstance{15};
+constexpr int kPausePartOfNotice = 2;
 // A peer that knows newer entries for so long shows that the watch here hears
 // nothing.
 constexpr Duration kBehindFor = milliseconds(2'000);
@@ -313,8 +314,8 @@
   state_.retries.SetInstances(fleet);
   // Each change wakes all instances, so that calls grow with the square of the
   // fleet unless each waits longer in a larger one.
-  const auto pause = std::min(
-      kLongestChangesPause,
+  const milliseconds pause = std::min<milliseconds>(
+      state_.settings.bounds.drain_notice / kPausePartOfNotice,
       kChangesPause + kPausePerInstance * static_cast<std::int64_t>(fleet));
   servers_follower_.SetPause(pause);
   own_follower_.SetPause(pause);
--- a/apps/edge/store_follower.cc
+++ b/apps/edge/store_follower.cc
@@ -8,9 +8,9 @@
 using std::chrono::milliseconds;
 using telemetry::Event;
 
-// How long one watch waits. A connection that has gone silent is noticed after
-// it, so it is a compromise between that and the price of a call.
-constexpr milliseconds kWatchWait{10'000};
+// How long one watch waits: near the longest that the store takes. What a peer
+// knows shows sooner if the connection has gone silent.
+constexpr milliseconds kWatchWait{25'000};
 constexpr Duration kFirstRetry = milliseconds(100);
 constexpr Duration kLongestRetry = milliseconds(1'000);
 constexpr int kMostDoublings = 4;
--- a/libs/config/include/figwell/config/edge_settings.h
+++ b/libs/config/include/figwell/config/edge_settings.h
@@ -25,6 +25,8 @@
   std::chrono::seconds retry_window{10};
   /** Sends that are allowed beyond the ratio, over all instances. */
   double retry_allowance = 0;
+  /** How long after it was told a server that leaves may get new work. */
+  std::chrono::milliseconds drain_notice{2'000};
   /** How long a process may go on after SIGTERM. */
   std::chrono::seconds stop_grace{8};
 
--- a/libs/config/src/edge_settings.cc
+++ b/libs/config/src/edge_settings.cc
@@ -54,6 +54,8 @@
   bounds.retry_window = ReadTime(reader, "retry_window_s", bounds.retry_window);
   bounds.retry_allowance =
       ReadNumber(reader, "retry_allowance", bounds.retry_allowance);
+  bounds.drain_notice =
+      ReadTime(reader, "drain_notice_ms", bounds.drain_notice);
   bounds.stop_grace = ReadTime(reader, "stop_grace_s", bounds.stop_grace);
   reader.ReportUnknownFields();
   return bounds;
