--- a/libs/serving/src/leadership.cc
+++ b/libs/serving/src/leadership.cc
@@ -34,7 +34,9 @@
     lease_ = 0;  // it runs out by itself
     return std::nullopt;
   }
-  if (lease_ != 0 && now >= renewed_ + kTtl) {
+  // With the key, only the store can say whether the lease has ended: its time
+  // may have stood still during an outage.
+  if (lease_ != 0 && !taken_at_ && !unsure_ && now >= renewed_ + kTtl) {
     LoseLease(now);
   }
   if (lease_ == 0) {
--- a/libs/serving/tests/leadership_test.cc
+++ b/libs/serving/tests/leadership_test.cc
@@ -244,6 +244,38 @@
   CHECK(world.orders() == before);
 }
 
+TEST_CASE("a leader whose lease outlived an outage of the store leads on") {
+  PlacementLease lease("key", "me", kBounds);
+  lease.OnHolder(At(0), std::nullopt);
+  REQUIRE(lease.Tick(At(0)));
+  lease.OnGranted(At(0), store::LeaseId{7});
+  REQUIRE(lease.Tick(At(0)));
+  lease.OnTaken(At(0), std::optional<store::Revision>(5));
+  std::int64_t ms = 0;
+  for (; ms < 6'000; ms += 100) {
+    if (lease.Tick(At(ms))) {
+      lease.OnKept(At(ms), {});
+    }
+  }
+  REQUIRE(lease.Leads(At(ms)));
+  for (; ms < 16'000; ms += 100) {
+    if (const auto call = lease.Tick(At(ms))) {
+      CHECK(*call == LeadershipAction(KeepLease{7}));
+      lease.OnKept(At(ms), Fail(ErrorCode::kUnavailable, "away"));
+    }
+  }
+  CHECK_FALSE(lease.Leads(At(ms)));
+  REQUIRE(lease.Tick(At(ms)));
+  lease.OnKept(At(ms), {});
+  CHECK(lease.Leads(At(ms + 10)));
+  // An outage in which the lease ended is another matter.
+  ms += 5'000;
+  REQUIRE(lease.Tick(At(ms)));
+  lease.OnKept(At(ms), Fail(ErrorCode::kNotFound, "ended"));
+  CHECK_FALSE(lease.Leads(At(ms)));
+  CHECK_FALSE(lease.HasKey());
+}
+
 TEST_CASE("a process costs the store nothing while another has the key") {
   PlacementLease lease("key", "me", kBounds);
   lease.OnHolder(At(0), store::KeyValue{"key", "other", 1, 1, 9});
