--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -15,6 +15,7 @@
 constexpr milliseconds kRegistrationTtl{10'000};
 constexpr Duration kRegistrationRenewal = milliseconds(3'000);
 constexpr Duration kRegistrationRetry = milliseconds(1'000);
+constexpr milliseconds kEndLeaseRetry{300};
 // Instances try for a free key at different moments, so that most see that
 // someone else has it.
 constexpr Duration kTakeoverDelayPerInstance = milliseconds(10);
@@ -230,19 +231,32 @@
 void PlacementHost::Resign() {
   const store::LeaseId placement = lease_.lease();
   lease_.Resign();
+  registering_ = true;  // registers no more
   for (const store::LeaseId lease : {placement, registration_lease_}) {
-    if (lease == 0) {
-      continue;
+    if (lease != 0) {
+      EndLease(lease);
     }
-    store_.EndLease(lease, [](const Result<void>& ended) {
-      if (!ended) {
-        telemetry::Log(Event::kDependencyLost,
-                       "a lease runs out by itself: " + ended.error().message,
-                       {{"dependency", "store"}});
-      }
-    });
   }
-  registering_ = true;  // registers no more
+}
+
+void PlacementHost::EndLease(store::LeaseId lease) {
+  store_.EndLease(lease, [this, lease](const Result<void>& ended) {
+    if (ended || ended.error().code == ErrorCode::kNotFound) {
+      return;
+    }
+    telemetry::Log(Event::kDependencyLost,
+                   "a lease was not ended: " + ended.error().message,
+                   {{"dependency", "store"}});
+    // Until it has ended, no other instance can lead.
+    const auto retry = std::make_shared<boost::asio::steady_timer>(
+        state_.context, kEndLeaseRetry);
+    retry->async_wait(
+        [this, lease, retry](const boost::system::error_code& error) {
+          if (!error) {
+            EndLease(lease);
+          }
+        });
+  });
 }
 
 // ------------------------------------------------------------------- demand
--- a/apps/edge/placement_host.h
+++ b/apps/edge/placement_host.h
@@ -50,6 +50,7 @@
   void Carry(const serving::KeepLease& action);
   void Carry(const serving::TakeKey& action);
   void Carry(const serving::ReadKey& action);
+  void EndLease(store::LeaseId lease);
   void TickRegistration(TimePoint now);
   void Register();
   void OnRegistrationAnswer(TimePoint now, const std::optional<Error>& error);
