--- a/libs/http/src/call.cc
+++ b/libs/http/src/call.cc
@@ -67,7 +67,9 @@
     return;
   }
   if (!limits_.fresh_connection) {
-    stream_ = pool_->Take(address_);
+    IdlePool::Kept kept = pool_->Take(address_);
+    stream_ = std::move(kept.stream);
+    idle_before_ = kept.idle;
   }
   reused_ = stream_ != nullptr;
   if (reused_) {
@@ -250,6 +252,12 @@
   }
   const auto self = shared_from_this();
   finished_ = true;
+  const bool gone = error == asio::error::connection_reset ||
+                    error == asio::error::eof ||
+                    error == beast::http::error::end_of_stream;
+  if (reused_ && gone && stage <= Stage::kWritten) {
+    pool_->NoteDropped(idle_before_);
+  }
   Reset();
   stream_.reset();
   on_finished_();
--- a/libs/http/src/call.h
+++ b/libs/http/src/call.h
@@ -22,8 +22,22 @@
  public:
   explicit IdlePool(ClientLimits limits) : limits_(limits) {}
 
+  using Clock = std::chrono::steady_clock;
+
+  /** A kept connection, and how long it has been idle. */
+  struct Kept {
+    std::unique_ptr<Stream> stream;
+    Clock::duration idle{0};
+  };
+
   /** A connection that its server has neither closed nor written to. */
-  std::unique_ptr<Stream> Take(const std::string& address);
+  Kept Take(const std::string& address);
+  /**
+   * A connection that had been idle for so long broke before anything was
+   * answered. Servers may drop idle connections without a word, so all are
+   * used for a shorter time from now on; the bound grows again with time.
+   */
+  void NoteDropped(Clock::duration idle);
   /** @param lifetime how long the server keeps the connection, if it said so
    */
   void Give(const std::string& address, std::unique_ptr<Stream> stream,
@@ -34,11 +48,17 @@
  private:
   struct Idle {
     std::unique_ptr<Stream> stream;
-    std::chrono::steady_clock::time_point until;
+    Clock::time_point since;
+    Clock::time_point until;
   };
 
+  Clock::duration LongestIdle(Clock::time_point now) const;
+
   ClientLimits limits_;
   std::map<std::string, std::vector<Idle>> idle_;
+  /** What NoteDropped asked for last, and when. */
+  std::optional<Clock::duration> dropped_bound_;
+  Clock::time_point dropped_at_;
 };
 
 /** One request on its way to a backend, and its answer on the way back. */
@@ -82,6 +102,7 @@
 
   std::unique_ptr<Stream> stream_;
   bool reused_ = false;
+  IdlePool::Clock::duration idle_before_{0};
   bool finished_ = false;
   /** The present answer belongs to another request. */
   bool foreign_ = false;
--- a/libs/http/src/idle_pool.cc
+++ b/libs/http/src/idle_pool.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "call.h"
 
 namespace figwell::http {
@@ -6,6 +8,14 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
+// The bound on idle time after a dropped connection is never below this, since
+// a server may also have crashed; it doubles after each such interval.
+constexpr milliseconds kShortestIdle{300};
+constexpr milliseconds kBoundDoublesAfter{10'000};
+constexpr std::int64_t kMostDoublings = 10;
+
 // Whether nothing has happened on the connection since its last answer. Bytes
 // would belong to no request of ours; an end means that the server closed it.
 bool IsQuiet(Stream& stream) {
@@ -19,17 +29,36 @@
 
 }  // namespace
 
-std::unique_ptr<Stream> IdlePool::Take(const std::string& address) {
+IdlePool::Clock::duration IdlePool::LongestIdle(Clock::time_point now) const {
+  if (!dropped_bound_) {
+    return limits_.idle_timeout;
+  }
+  const auto doublings = std::min<std::int64_t>(
+      kMostDoublings, (now - dropped_at_) / kBoundDoublesAfter);
+  return std::min<Clock::duration>(limits_.idle_timeout,
+                                   *dropped_bound_ * (1LL << doublings));
+}
+
+IdlePool::Kept IdlePool::Take(const std::string& address) {
   auto& connections = idle_[address];
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = Clock::now();
+  const auto longest = LongestIdle(now);
   while (!connections.empty()) {
     Idle idle = std::move(connections.back());
     connections.pop_back();
-    if (now < idle.until && IsQuiet(*idle.stream)) {
-      return std::move(idle.stream);
+    if (now < idle.until && now - idle.since < longest &&
+        IsQuiet(*idle.stream)) {
+      return {std::move(idle.stream), now - idle.since};
     }
   }
-  return nullptr;
+  return {};
+}
+
+void IdlePool::NoteDropped(Clock::duration idle) {
+  const auto now = Clock::now();
+  dropped_bound_ = std::max<Clock::duration>(
+      kShortestIdle, std::min(LongestIdle(now), idle / 2));
+  dropped_at_ = now;
 }
 
 void IdlePool::Give(const std::string& address, std::unique_ptr<Stream> stream,
@@ -39,10 +68,12 @@
   if (kept.count() <= 0) {
     return;
   }
+  const auto now = Clock::now();
   auto& connections = idle_[address];
+  std::erase_if(connections,
+                [&](const Idle& idle) { return idle.until <= now; });
   if (connections.size() < limits_.idle_connections_per_address) {
-    connections.push_back(
-        {std::move(stream), std::chrono::steady_clock::now() + kept});
+    connections.push_back({std::move(stream), now, now + kept});
   }
 }
 
--- a/libs/http/tests/exchange_test.cc
+++ b/libs/http/tests/exchange_test.cc
@@ -340,6 +340,39 @@
   }
 }
 
+TEST_CASE("connections that servers drop when idle are kept for less time") {
+  // A server that resets what comes on a connection idle for over 600 ms.
+  constexpr std::chrono::milliseconds kDropsAfter{600};
+  std::map<std::string, std::chrono::steady_clock::time_point> used;
+  Loopback loopback({}, [&](const ExchangePtr& exchange) {
+    const auto now = std::chrono::steady_clock::now();
+    const auto before = used.find(exchange->client_address());
+    if (before != used.end() && now - before->second > kDropsAfter) {
+      exchange->Abort();
+      return;
+    }
+    used[exchange->client_address()] = now;
+    Echo(exchange);
+  });
+  const auto wait = [&](std::chrono::milliseconds time) {
+    asio::steady_timer timer(loopback.context, time);
+    bool done = false;
+    timer.async_wait([&](boost::system::error_code) { done = true; });
+    while (!done) {
+      loopback.context.run_one();
+    }
+  };
+  REQUIRE(loopback.Fetch(Post("1")));
+  wait(std::chrono::milliseconds(700));
+  const auto dropped = loopback.Fetch(Post("2"));
+  REQUIRE_FALSE(dropped);
+  CHECK(dropped.error().stage == Stage::kWritten);
+  // From now on a connection that was idle for as long is not used again.
+  REQUIRE(loopback.Fetch(Post("3")));
+  wait(std::chrono::milliseconds(700));
+  CHECK(loopback.Fetch(Post("4")));
+}
+
 TEST_CASE("each way in which a backend breaks is told by its stage") {
   asio::io_context context;
   // Without it the context would stop whenever nothing is under way.
