--- a/libs/serving/src/copies.cc
+++ b/libs/serving/src/copies.cc
@@ -18,6 +18,8 @@
 constexpr double kEvictionCost = 600;
 // What a model without a copy counts beyond its demand: it serves nobody.
 constexpr double kMissingWork = 150;
+// One more copy may give way ahead of its load for each such load time.
+constexpr Duration kLoadTimeAnUnload = std::chrono::milliseconds(2'000);
 // A copy makes way only for one that is worth so many times as much.
 constexpr double kClearGain = 1.5;
 // Requests a second and copy from which an adapter gets another copy.
@@ -184,7 +186,7 @@
    * copy gives way for loads that could not begin.
    */
   void ReserveLoadsForVacancies() {
-    evictions_left_ = input_.loads_allowed;
+    evictions_left_ = input_.loads_allowed + UnloadsAhead();
     for (const auto& [id, server] : input_.servers) {
       const int taken =
           static_cast<int>(server.models.size()) + (IsLoading(server) ? 1 : 0);
@@ -192,6 +194,19 @@
     }
   }
 
+  /**
+   * Copies that may give way before their loads are allowed: an unload waits
+   * for its runs to end. A place that stays empty is dear where loads are
+   * quick, since the copy that left it would have been worth more.
+   */
+  int UnloadsAhead() const {
+    Duration longest{0};
+    for (const auto& [id, spec] : input_.engine.models) {
+      longest = std::max(longest, spec.load_time);
+    }
+    return static_cast<int>(longest / kLoadTimeAnUnload);
+  }
+
   bool IsLoading(const EngineState& server) const {
     return server.loading && !server.models.contains(*server.loading) &&
            server.loads;
