--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -54,16 +54,17 @@
   return limits;
 }
 
-http::ServerLimits CallerLimits() {
-  const serving::CallerLimits assumed;
+// Bounds on callers. Sizes are twice what the configuration says, and times
+// too: it bounds what callers send, and is enforced only beyond any doubt.
+http::ServerLimits LimitsFor(const serving::CallerLimits& configured) {
+  constexpr int kLenience = 2;
   http::ServerLimits limits;
-  limits.header_bytes = assumed.head_bytes * 2;
-  limits.body_bytes = assumed.body_bytes;
+  limits.header_bytes = configured.head_bytes * kLenience;
+  limits.body_bytes = configured.body_bytes * kLenience;
   limits.connections = kCallerConnections;
-  limits.header_timeout = assumed.head_timeout * 2;
-  // Clients use connections again that were idle for part of the
-  // configuration's time-out; a generous bound never cuts one of these.
-  limits.idle_timeout = std::chrono::seconds(60);
+  limits.header_timeout = configured.head_timeout * kLenience;
+  // Callers use connections again that were idle for part of this time.
+  limits.idle_timeout = configured.idle_timeout * kLenience;
   limits.write_timeout = kCallerWriteTimeout;
   limits.peer_timeout = kCallerSilence;
   return limits;
@@ -115,7 +116,9 @@
                 TakeConfiguration(document, "peer");
               },
               [] {}}),
-      placement_(state_, store_, server_http_, peers_, incarnation_),
+      registrar_(state_, store_),
+      placement_(state_, store_, server_http_, peers_, registrar_,
+                 incarnation_),
       configuration_follower_(
           context_, store_, std::string(adapter::kConfigurationPrefix),
           milliseconds(0),
@@ -149,7 +152,7 @@
            },
            [this](const store::WatchEvent& event) { OnOwnEvent(event); }, [] {},
            [](Duration) {}}),
-      callers_(context_, CallerLimits(),
+      callers_(context_, LimitsFor({}),
                {[this](http::ExchangePtr exchange) {
                   OnCallerRequest(std::move(exchange));
                 },
@@ -224,6 +227,10 @@
   return 0;
 }
 
+void Edge::ApplyLimits(const serving::CallerLimits& configured) {
+  callers_.SetLimits(LimitsFor(configured));
+}
+
 void Edge::OnCallerRequest(http::ExchangePtr exchange) {
   std::make_shared<CallerRequest>(state_, server_http_, placement_,
                                   std::move(exchange))
@@ -328,6 +335,7 @@
                  {{"active", std::to_string(state_.active_requests)}});
   callers_.CloseAfterAnswers();
   placement_.Resign();
+  registrar_.Leave();
   CheckStopped();
 }
 
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -8,6 +8,7 @@
 
 #include "peer_group.h"
 #include "placement_host.h"
+#include "registrar.h"
 #include "request.h"
 #include "state.h"
 #include "store_follower.h"
@@ -26,6 +27,7 @@
   // edge.cc
   Result<void> Listen();
   void OnCallerRequest(http::ExchangePtr exchange);
+  void ApplyLimits(const serving::CallerLimits& configured);
   void OnReadyRequest(const http::ExchangePtr& exchange);
   void OnMetricsRequest(const http::ExchangePtr& exchange);
   bool Ready() const;
@@ -79,6 +81,7 @@
   http::Client server_http_;
   adapter::StoreClient store_;
   PeerGroup peers_;
+  Registrar registrar_;
   PlacementHost placement_;
   StoreFollower configuration_follower_;
   StoreFollower servers_follower_;
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -59,6 +59,7 @@
        {"source", std::string(source)}});
   state_.catalog = std::move(*catalog);
   state_.allowances.Configure(MonotonicNow(), state_.catalog->teams());
+  ApplyLimits(state_.catalog->limits());
   peers_.SetConfiguration(number, document);
 }
 
@@ -153,7 +154,7 @@
 
 void Edge::NoteInstance(const std::string& key,
                         const std::optional<std::string>& address) {
-  const std::string prefix = placement_.InstancesPrefix();
+  const std::string prefix = registrar_.InstancesPrefix();
   if (!key.starts_with(prefix)) {
     return;
   }
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -94,6 +94,11 @@
   }
 };
 
+/** Packs rates into messages that fit into datagrams. */
+std::vector<DemandMessage> ToMessages(const serving::Demand& demand);
+/** Takes up a message of a series. */
+void AddItems(const DemandMessage& message, serving::Demand& demand);
+
 /** A server holds a target, or is about to lose it. */
 struct PlacementMessage {
   std::string server;
--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -11,24 +11,11 @@
 using telemetry::Event;
 
 constexpr milliseconds kTick{40};
-// An instance that died is taken off the list after this; peers notice sooner.
-constexpr milliseconds kRegistrationTtl{10'000};
-constexpr Duration kRegistrationRenewal = milliseconds(3'000);
-constexpr Duration kRegistrationRetry = milliseconds(1'000);
-constexpr milliseconds kEndLeaseRetry{300};
 // Instances try for a free key at different moments, so that most see that
 // someone else has it.
 constexpr Duration kTakeoverDelayPerInstance = milliseconds(10);
 constexpr Duration kLongestTakeoverDelay = milliseconds(500);
-// Bounds of an order's exchange: engines answer at once.
-constexpr milliseconds kOrderTimeout{300};
 constexpr milliseconds kReportTimeout{600};
-// An adapter is ready this long after its order was accepted.
-constexpr milliseconds kAdapterLoad{30};
-// Peers stop sending to a copy before its unload is ordered.
-constexpr Duration kUnloadNotice = milliseconds(300);
-// An adapter that makes way is one that nobody asks for.
-constexpr Duration kAdapterNotice = milliseconds(20);
 // Copies are added for demand at most this often.
 constexpr Duration kRebalanceEvery = milliseconds(400);
 // A peer's demand counts for so long after it was told.
@@ -44,20 +31,16 @@
 // What a wish counts as demand, in requests a second.
 constexpr double kWishWeight = 1.0;
 
-std::string TargetText(const serving::ModelTarget& target) {
-  return target.adapter.empty() ? target.model.value()
-                                : target.model.value() + "/" + target.adapter;
-}
-
 }  // namespace
 
 PlacementHost::PlacementHost(State& state, adapter::StoreClient& store,
                              http::Client& client, PeerGroup& peers,
-                             std::uint64_t incarnation)
+                             Registrar& registrar, std::uint64_t incarnation)
     : state_(state),
       store_(store),
       client_(client),
       peers_(peers),
+      registrar_(registrar),
       holder_value_(state.settings.instance.value() + " " +
                     std::to_string(incarnation)),
       timer_(state.context),
@@ -70,10 +53,6 @@
   return state_.settings.store_prefix + "placement/holder";
 }
 
-std::string PlacementHost::InstancesPrefix() const {
-  return state_.settings.store_prefix + "instances/";
-}
-
 void PlacementHost::Start() { Tick(); }
 
 bool PlacementHost::Leads() const { return lease_.Leads(MonotonicNow()); }
@@ -105,7 +84,7 @@
   if (const auto action = lease_.Tick(now)) {
     std::visit([this](const auto& call) { Carry(call); }, *action);
   }
-  TickRegistration(now);
+  registrar_.Tick(now);
 }
 
 void PlacementHost::Carry(const serving::GrantLease& action) {
@@ -150,57 +129,6 @@
       state_.random.Below(static_cast<std::uint64_t>(longest)))));
 }
 
-void PlacementHost::TickRegistration(TimePoint now) {
-  if (registering_ || now < registration_due_) {
-    return;
-  }
-  registering_ = true;
-  if (registration_lease_ != 0) {
-    store_.KeepLease(registration_lease_, [this](const Result<void>& kept) {
-      OnRegistrationAnswer(MonotonicNow(),
-                           kept ? std::nullopt : std::optional(kept.error()));
-    });
-    return;
-  }
-  store_.GrantLease(kRegistrationTtl,
-                    [this](const Result<store::LeaseId>& lease) {
-                      if (!lease) {
-                        OnRegistrationAnswer(MonotonicNow(), lease.error());
-                        return;
-                      }
-                      registration_lease_ = *lease;
-                      Register();
-                    });
-}
-
-void PlacementHost::Register() {
-  adapter::Change change;
-  change.writes.push_back({InstancesPrefix() + state_.settings.instance.value(),
-                           Registration{state_.settings.listen_peers,
-                                        state_.settings.failure_domain}
-                               .ToText(),
-                           registration_lease_});
-  store_.Commit(change, [this](const Result<adapter::ChangeResult>& result) {
-    OnRegistrationAnswer(MonotonicNow(),
-                         result ? std::nullopt : std::optional(result.error()));
-  });
-}
-
-void PlacementHost::OnRegistrationAnswer(TimePoint now,
-                                         const std::optional<Error>& error) {
-  registering_ = false;
-  registration_due_ = now + (error ? kRegistrationRetry : kRegistrationRenewal);
-  if (!error) {
-    return;
-  }
-  telemetry::Log(Event::kDependencyLost, "registration: " + error->message,
-                 {{"dependency", "store"}});
-  // A write whose outcome is open is repeated under a new lease.
-  if (error->code != ErrorCode::kUnavailable) {
-    registration_lease_ = 0;
-  }
-}
-
 void PlacementHost::OnHolder(const std::optional<store::KeyValue>& holder) {
   lease_.OnHolder(MonotonicNow(), holder);
   leader_.reset();
@@ -229,34 +157,12 @@
 }
 
 void PlacementHost::Resign() {
-  const store::LeaseId placement = lease_.lease();
+  const store::LeaseId lease = lease_.lease();
   lease_.Resign();
-  registering_ = true;  // registers no more
-  for (const store::LeaseId lease : {placement, registration_lease_}) {
-    if (lease != 0) {
-      EndLease(lease);
-    }
-  }
-}
-
-void PlacementHost::EndLease(store::LeaseId lease) {
-  store_.EndLease(lease, [this, lease](const Result<void>& ended) {
-    if (ended || ended.error().code == ErrorCode::kNotFound) {
-      return;
-    }
-    telemetry::Log(Event::kDependencyLost,
-                   "a lease was not ended: " + ended.error().message,
-                   {{"dependency", "store"}});
+  if (lease != 0) {
     // Until it has ended, no other instance can lead.
-    const auto retry = std::make_shared<boost::asio::steady_timer>(
-        state_.context, kEndLeaseRetry);
-    retry->async_wait(
-        [this, lease, retry](const boost::system::error_code& error) {
-          if (!error) {
-            EndLease(lease);
-          }
-        });
-  });
+    registrar_.EndLease(lease);
+  }
 }
 
 // ------------------------------------------------------------------- demand
@@ -450,137 +356,4 @@
                   {"orders_under_way", std::to_string(book_.LoadsUnderWay())}});
 }
 
-void PlacementHost::Carry(TimePoint now, const serving::ServiceSpec& service,
-                          const serving::CopyMove& move) {
-  if (move.action == serving::OrderAction::kUnload) {
-    Announce(move.server, move.target, false);
-    const Duration notice =
-        move.target.adapter.empty() ? kUnloadNotice : kAdapterNotice;
-    unloads_[move.server] = {now + notice, move};
-    return;
-  }
-  const serving::EngineView* view = book_.Find(move.server);
-  const bool from_store = move.target.adapter.empty() && view != nullptr &&
-                          !view->at_hand.contains(move.target.model);
-  if (from_store) {
-    pacers_[service.id].OnLoad(now);
-  }
-  SendOrder(now, move);
-}
-
-void PlacementHost::SendDueUnloads(TimePoint now) {
-  for (auto unload = unloads_.begin(); unload != unloads_.end();) {
-    if (now < unload->second.at) {
-      ++unload;
-      continue;
-    }
-    const serving::CopyMove move = unload->second.move;
-    unload = unloads_.erase(unload);
-    SendOrder(now, move);
-  }
-}
-
-void PlacementHost::SendOrder(TimePoint now, const serving::CopyMove& move) {
-  const serving::BackendServer* server = state_.directory.Find(move.server);
-  if (server == nullptr || book_.Orderable(now, move.server) == nullptr ||
-      !lease_.Leads(now)) {
-    return;
-  }
-  const serving::Order order =
-      book_.Begin(now, move.server, move.action, move.target);
-  telemetry::Log(Event::kOrderSent, serving::Name(move.reason),
-                 {{"server", move.server.value()},
-                  {"action", std::string(serving::Name(move.action))},
-                  {"target", TargetText(move.target)},
-                  {"expected", std::to_string(order.expected)},
-                  {"fence", std::to_string(lease_.fence())}});
-  http::CallLimits limits;
-  limits.head_timeout = kOrderTimeout;
-  limits.piece_timeout = kOrderTimeout;
-  client_.Fetch(
-      server->address,
-      adapter::MakeOrderRequest(order, state_.settings.instance.value(),
-                                lease_.fence()),
-      limits,
-      [this,
-       order](const tl::expected<http::Response, http::ClientError>& response) {
-        OnOrderAnswer(order, response);
-      });
-}
-
-Duration PlacementHost::LoadTime(const serving::Order& order) const {
-  if (order.action == serving::OrderAction::kUnload ||
-      !order.target.adapter.empty() || !state_.catalog) {
-    return kAdapterLoad;
-  }
-  const serving::BackendServer* server = state_.directory.Find(order.server);
-  const serving::ModelSpec* model =
-      server == nullptr
-          ? nullptr
-          : state_.catalog->FindModel(server->service, order.target.model);
-  if (model == nullptr) {
-    return kAdapterLoad;
-  }
-  const serving::EngineView* view = book_.Find(order.server);
-  const bool at_hand =
-      view != nullptr && view->at_hand.contains(order.target.model);
-  return at_hand ? model->memory_load_time : model->load_time;
-}
-
-void PlacementHost::OnOrderAnswer(
-    const serving::Order& order,
-    const tl::expected<http::Response, http::ClientError>& response) {
-  const TimePoint now = MonotonicNow();
-  serving::OrderOutcome outcome = serving::OrderOutcome::kUnknown;
-  std::string detail;
-  if (response) {
-    outcome = adapter::DecodeOrderAnswer(order, *response);
-    detail = std::to_string(response->status);
-  } else {
-    detail = response.error().message;
-    if (response.error().NothingWasSent()) {
-      outcome = serving::OrderOutcome::kRejected;
-    }
-  }
-  telemetry::Log(Event::kOrderEnded, serving::Name(outcome),
-                 {{"server", order.server.value()},
-                  {"action", std::string(serving::Name(order.action))},
-                  {"target", TargetText(order.target)},
-                  {"expected", std::to_string(order.expected)},
-                  {"detail", detail}});
-  state_.metrics
-      .GetCounter("figwell_orders_total",
-                  telemetry::Label("action", serving::Name(order.action)) +
-                      "," + telemetry::Label("outcome", serving::Name(outcome)))
-      .Add();
-  const Duration load_time = LoadTime(order);
-  book_.OnOutcome(now, order, outcome, load_time);
-  if (outcome == serving::OrderOutcome::kAccepted &&
-      order.action == serving::OrderAction::kLoad &&
-      !order.target.adapter.empty()) {
-    const auto ready = std::make_shared<boost::asio::steady_timer>(
-        state_.context, kAdapterLoad);
-    ready->async_wait(
-        [this, order, ready](const boost::system::error_code& error) {
-          if (!error) {
-            Announce(order.server, order.target, true);
-          }
-        });
-  } else if (order.action == serving::OrderAction::kUnload &&
-             outcome != serving::OrderOutcome::kAccepted) {
-    // Peers were told that the copy goes; it may well stay.
-    if (outcome != serving::OrderOutcome::kUnknown) {
-      Announce(order.server, order.target, true);
-    }
-  }
-}
-
-void PlacementHost::Announce(const ServerId& server,
-                             const serving::ModelTarget& target, bool present) {
-  state_.balancer.OnPlacement(MonotonicNow(), server, target, present);
-  peers_.SendToAll(MessageKind::kPlacement,
-                   PlacementMessage{server.value(), target.model.value(),
-                                    target.adapter, present});
-}
-
 }  // namespace figwell::edge
--- a/apps/edge/placement_host.h
+++ b/apps/edge/placement_host.h
@@ -8,19 +8,23 @@
 
 #include "messages.h"
 #include "peer_group.h"
+#include "registrar.h"
 #include "state.h"
 
 namespace figwell::edge {
 
 /**
- * Registers this process in the store under a lease and, while it holds the
- * key of placement, orders the servers. The decisions are in libs/serving;
- * this makes their calls.
+ * Orders the servers while this process holds the key of placement. The
+ * decisions are in libs/serving; this makes their calls:
+ *
+ *   placement_host.cc    the lease, demand, reports and plans
+ *   placement_orders.cc  moves, orders and announcements
  */
 class PlacementHost {
  public:
   PlacementHost(State& state, adapter::StoreClient& store, http::Client& client,
-                PeerGroup& peers, std::uint64_t incarnation);
+                PeerGroup& peers, Registrar& registrar,
+                std::uint64_t incarnation);
 
   void Start();
   /** The key that the leader holds, as the watch says. */
@@ -35,7 +39,6 @@
   void SetFleetSize(std::size_t instances);
 
   std::string HolderKey() const;
-  std::string InstancesPrefix() const;
   bool Leads() const;
 
  private:
@@ -50,10 +53,6 @@
   void Carry(const serving::KeepLease& action);
   void Carry(const serving::TakeKey& action);
   void Carry(const serving::ReadKey& action);
-  void EndLease(store::LeaseId lease);
-  void TickRegistration(TimePoint now);
-  void Register();
-  void OnRegistrationAnswer(TimePoint now, const std::optional<Error>& error);
   void NoteLeading(TimePoint now);
 
   void ReadReports(TimePoint now, const ServiceId& service);
@@ -80,12 +79,10 @@
   adapter::StoreClient& store_;
   http::Client& client_;
   PeerGroup& peers_;
+  Registrar& registrar_;
   std::string holder_value_;
   boost::asio::steady_timer timer_;
   serving::PlacementLease lease_;
-  store::LeaseId registration_lease_ = 0;
-  TimePoint registration_due_;
-  bool registering_ = false;
   bool led_ = false;
   std::optional<InstanceId> leader_;
 
--- /dev/null
+++ b/apps/edge/placement_orders.cc
@@ -0,0 +1,158 @@
+#include "placement_host.h"
+
+namespace figwell::edge {
+namespace {
+
+using std::chrono::milliseconds;
+using telemetry::Event;
+
+// Bounds of an order's exchange: engines answer at once.
+constexpr milliseconds kOrderTimeout{300};
+// An adapter is ready this long after its order was accepted.
+constexpr milliseconds kAdapterLoad{30};
+// Peers stop sending to a copy before its unload is ordered.
+constexpr Duration kUnloadNotice = milliseconds(300);
+// An adapter that makes way is one that nobody asks for.
+constexpr Duration kAdapterNotice = milliseconds(20);
+
+std::string TargetText(const serving::ModelTarget& target) {
+  return target.adapter.empty() ? target.model.value()
+                                : target.model.value() + "/" + target.adapter;
+}
+
+}  // namespace
+
+void PlacementHost::Carry(TimePoint now, const serving::ServiceSpec& service,
+                          const serving::CopyMove& move) {
+  if (move.action == serving::OrderAction::kUnload) {
+    Announce(move.server, move.target, false);
+    const Duration notice =
+        move.target.adapter.empty() ? kUnloadNotice : kAdapterNotice;
+    unloads_[move.server] = {now + notice, move};
+    return;
+  }
+  const serving::EngineView* view = book_.Find(move.server);
+  const bool from_store = move.target.adapter.empty() && view != nullptr &&
+                          !view->at_hand.contains(move.target.model);
+  if (from_store) {
+    pacers_[service.id].OnLoad(now);
+  }
+  SendOrder(now, move);
+}
+
+void PlacementHost::SendDueUnloads(TimePoint now) {
+  for (auto unload = unloads_.begin(); unload != unloads_.end();) {
+    if (now < unload->second.at) {
+      ++unload;
+      continue;
+    }
+    const serving::CopyMove move = unload->second.move;
+    unload = unloads_.erase(unload);
+    SendOrder(now, move);
+  }
+}
+
+void PlacementHost::SendOrder(TimePoint now, const serving::CopyMove& move) {
+  const serving::BackendServer* server = state_.directory.Find(move.server);
+  if (server == nullptr || book_.Orderable(now, move.server) == nullptr ||
+      !lease_.Leads(now)) {
+    return;
+  }
+  const serving::Order order =
+      book_.Begin(now, move.server, move.action, move.target);
+  telemetry::Log(Event::kOrderSent, serving::Name(move.reason),
+                 {{"server", move.server.value()},
+                  {"action", std::string(serving::Name(move.action))},
+                  {"target", TargetText(move.target)},
+                  {"expected", std::to_string(order.expected)},
+                  {"fence", std::to_string(lease_.fence())}});
+  http::CallLimits limits;
+  limits.head_timeout = kOrderTimeout;
+  limits.piece_timeout = kOrderTimeout;
+  client_.Fetch(
+      server->address,
+      adapter::MakeOrderRequest(order, state_.settings.instance.value(),
+                                lease_.fence()),
+      limits,
+      [this,
+       order](const tl::expected<http::Response, http::ClientError>& response) {
+        OnOrderAnswer(order, response);
+      });
+}
+
+Duration PlacementHost::LoadTime(const serving::Order& order) const {
+  if (order.action == serving::OrderAction::kUnload ||
+      !order.target.adapter.empty() || !state_.catalog) {
+    return kAdapterLoad;
+  }
+  const serving::BackendServer* server = state_.directory.Find(order.server);
+  const serving::ModelSpec* model =
+      server == nullptr
+          ? nullptr
+          : state_.catalog->FindModel(server->service, order.target.model);
+  if (model == nullptr) {
+    return kAdapterLoad;
+  }
+  const serving::EngineView* view = book_.Find(order.server);
+  const bool at_hand =
+      view != nullptr && view->at_hand.contains(order.target.model);
+  return at_hand ? model->memory_load_time : model->load_time;
+}
+
+void PlacementHost::OnOrderAnswer(
+    const serving::Order& order,
+    const tl::expected<http::Response, http::ClientError>& response) {
+  const TimePoint now = MonotonicNow();
+  serving::OrderOutcome outcome = serving::OrderOutcome::kUnknown;
+  std::string detail;
+  if (response) {
+    outcome = adapter::DecodeOrderAnswer(order, *response);
+    detail = std::to_string(response->status);
+  } else {
+    detail = response.error().message;
+    if (response.error().NothingWasSent()) {
+      outcome = serving::OrderOutcome::kRejected;
+    }
+  }
+  telemetry::Log(Event::kOrderEnded, serving::Name(outcome),
+                 {{"server", order.server.value()},
+                  {"action", std::string(serving::Name(order.action))},
+                  {"target", TargetText(order.target)},
+                  {"expected", std::to_string(order.expected)},
+                  {"detail", detail}});
+  state_.metrics
+      .GetCounter("figwell_orders_total",
+                  telemetry::Label("action", serving::Name(order.action)) +
+                      "," + telemetry::Label("outcome", serving::Name(outcome)))
+      .Add();
+  const Duration load_time = LoadTime(order);
+  book_.OnOutcome(now, order, outcome, load_time);
+  if (outcome == serving::OrderOutcome::kAccepted &&
+      order.action == serving::OrderAction::kLoad &&
+      !order.target.adapter.empty()) {
+    const auto ready = std::make_shared<boost::asio::steady_timer>(
+        state_.context, kAdapterLoad);
+    ready->async_wait(
+        [this, order, ready](const boost::system::error_code& error) {
+          if (!error) {
+            Announce(order.server, order.target, true);
+          }
+        });
+  } else if (order.action == serving::OrderAction::kUnload &&
+             outcome != serving::OrderOutcome::kAccepted) {
+    // Peers were told that the copy goes; it may well stay.
+    if (outcome != serving::OrderOutcome::kUnknown) {
+      Announce(order.server, order.target, true);
+    }
+  }
+}
+
+void PlacementHost::Announce(const ServerId& server,
+                             const serving::ModelTarget& target, bool present) {
+  state_.balancer.OnPlacement(MonotonicNow(), server, target, present);
+  peers_.SendToAll(MessageKind::kPlacement,
+                   PlacementMessage{server.value(), target.model.value(),
+                                    target.adapter, present});
+}
+
+}  // namespace figwell::edge
--- /dev/null
+++ b/apps/edge/registrar.cc
@@ -0,0 +1,103 @@
+#include "registrar.h"
+
+namespace figwell::edge {
+namespace {
+
+using std::chrono::milliseconds;
+using telemetry::Event;
+
+// An instance that died is taken off the list after this; peers notice sooner.
+constexpr milliseconds kTtl{10'000};
+constexpr Duration kRenewal = milliseconds(3'000);
+constexpr Duration kRetry = milliseconds(1'000);
+constexpr milliseconds kEndLeaseRetry{300};
+
+template <typename T>
+std::optional<Error> ErrorOf(const Result<T>& result) {
+  return result ? std::nullopt : std::optional(result.error());
+}
+
+}  // namespace
+
+Registrar::Registrar(State& state, adapter::StoreClient& store)
+    : state_(state), store_(store) {}
+
+std::string Registrar::InstancesPrefix() const {
+  return state_.settings.store_prefix + "instances/";
+}
+
+void Registrar::Tick(TimePoint now) {
+  if (calling_ || left_ || now < due_) {
+    return;
+  }
+  calling_ = true;
+  if (lease_ != 0) {
+    store_.KeepLease(lease_, [this](const Result<void>& kept) {
+      OnAnswer(MonotonicNow(), ErrorOf(kept));
+    });
+    return;
+  }
+  store_.GrantLease(kTtl, [this](const Result<store::LeaseId>& lease) {
+    if (!lease) {
+      OnAnswer(MonotonicNow(), lease.error());
+      return;
+    }
+    lease_ = *lease;
+    Register();
+  });
+}
+
+void Registrar::Register() {
+  adapter::Change change;
+  change.writes.push_back(
+      {InstancesPrefix() + state_.settings.instance.value(),
+       Registration{state_.settings.listen_peers,
+                    state_.settings.failure_domain}
+           .ToText(),
+       lease_});
+  store_.Commit(change, [this](const Result<adapter::ChangeResult>& result) {
+    OnAnswer(MonotonicNow(), ErrorOf(result));
+  });
+}
+
+void Registrar::OnAnswer(TimePoint now, const std::optional<Error>& error) {
+  calling_ = false;
+  due_ = now + (error ? kRetry : kRenewal);
+  if (!error) {
+    return;
+  }
+  telemetry::Log(Event::kDependencyLost, "registration: " + error->message,
+                 {{"dependency", "store"}});
+  // A write whose outcome is open is repeated under a new lease.
+  if (error->code != ErrorCode::kUnavailable) {
+    lease_ = 0;
+  }
+}
+
+void Registrar::Leave() {
+  left_ = true;
+  if (lease_ != 0) {
+    EndLease(lease_);
+  }
+}
+
+void Registrar::EndLease(store::LeaseId lease) {
+  store_.EndLease(lease, [this, lease](const Result<void>& ended) {
+    if (ended || ended.error().code == ErrorCode::kNotFound) {
+      return;
+    }
+    telemetry::Log(Event::kDependencyLost,
+                   "a lease was not ended: " + ended.error().message,
+                   {{"dependency", "store"}});
+    const auto retry = std::make_shared<boost::asio::steady_timer>(
+        state_.context, kEndLeaseRetry);
+    retry->async_wait(
+        [this, lease, retry](const boost::system::error_code& error) {
+          if (!error) {
+            EndLease(lease);
+          }
+        });
+  });
+}
+
+}  // namespace figwell::edge
--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <string>
 
-#include "demand_meter.h"
 #include "figwell/adapter.h"
 #include "figwell/config.h"
 #include "figwell/serving.h"
@@ -33,7 +32,7 @@
   serving::Balancer balancer;
   serving::Allowances allowances;
   serving::RetryBudget retries;
-  DemandMeter demand;
+  serving::DemandMeter demand;
   Random random;
   std::size_t active_requests = 0;
   /** Tells the peers of this instance's charges before the next interval. */
--- a/libs/http/include/figwell/http.h
+++ b/libs/http/include/figwell/http.h
@@ -205,6 +205,9 @@
    */
   Result<std::string> Listen(const std::string& address);
 
+  /** Bounds from now on; open connections keep their bound on heads. */
+  void SetLimits(const ServerLimits& limits);
+
   /** Takes no more connections. Those that are open stay. */
   void StopAccepting();
 
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -103,6 +103,10 @@
   return FormatEndpoint(bound);
 }
 
+void Server::SetLimits(const ServerLimits& limits) {
+  state_->shared->limits = limits;
+}
+
 void Server::StopAccepting() {
   boost::system::error_code ignored;
   state_->acceptor.close(ignored);
--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -14,7 +14,8 @@
  *   summary.h      DomainSummary: what a domain's instances do together
  *   attempts.h     RetryBudget, and what may follow a failed attempt
  *   leadership.h   PlacementLease: which instance orders the servers
- *   copies.h       CopyPlanner: which server should hold which model
+ *   demand.h       DemandMeter, DemandForecast: what is asked for, and will be
+ *   copies.h       PlanCopies: which server should hold which model
  *   orders.h       OrderBook: one order at a time and server
  */
 
@@ -25,6 +26,7 @@
 #include "figwell/serving/balancer.h"
 #include "figwell/serving/catalog.h"
 #include "figwell/serving/copies.h"
+#include "figwell/serving/demand.h"
 #include "figwell/serving/directory.h"
 #include "figwell/serving/leadership.h"
 #include "figwell/serving/orders.h"
--- a/libs/serving/include/figwell/serving/copies.h
+++ b/libs/serving/include/figwell/serving/copies.h
@@ -11,46 +11,11 @@
 
 #include "figwell/core.h"
 #include "figwell/serving/catalog.h"
+#include "figwell/serving/demand.h"
 #include "figwell/serving/orders.h"
 
 namespace figwell::serving {
 
-/** What is asked of the fleet, by model and by adapter. */
-struct Demand {
-  /** Milliseconds of a server's time a second. */
-  std::map<ModelId, double> work;
-  /** Requests a second, for adapters. */
-  std::map<ModelTarget, double> requests;
-
-  friend bool operator==(const Demand&, const Demand&) = default;
-};
-
-/**
- * Follows the work of each model and its trend (double exponential smoothing)
- * and says what it will be when a load that begins now has ended. Answers
- * demand that moves from model to model within seconds, while a load takes as
- * long.
- */
-class DemandForecast {
- public:
-  void Update(TimePoint now, const Demand& demand);
-  /**
-   * The demand after `ahead`; no model's is more than all have together. What
-   * falls is not followed as far: a copy is given up at once, but not regained.
-   */
-  Demand Ahead(Duration ahead) const;
-
- private:
-  struct Series {
-    double level = 0;
-    double trend = 0;  // a second
-  };
-
-  std::map<ModelId, Series> work_;
-  std::map<ModelTarget, double> requests_;
-  std::optional<TimePoint> updated_;
-};
-
 /** One server as the planner sees it. */
 struct EngineState {
   /** What it holds, or will once its present order is carried out. */
--- a/libs/serving/src/forecast.cc
+++ b/libs/serving/src/forecast.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "figwell/serving/copies.h"
+#include "figwell/serving/demand.h"
 
 namespace figwell::serving {
 namespace {
--- a/libs/serving/tests/copies_test.cc
+++ b/libs/serving/tests/copies_test.cc
@@ -5,10 +5,6 @@
 namespace figwell::serving {
 namespace {
 
-using std::chrono::milliseconds;
-
-TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
-
 std::string Numbered(const char* prefix, int number) {
   return std::string(prefix).append(std::to_string(number));
 }
@@ -200,32 +196,5 @@
   });
 }
 
-TEST_CASE("a forecast sees a shift of demand before it has happened") {
-  DemandForecast forecast;
-  // Model 0 falls by 200 a second while model 1 rises by as much.
-  for (int ms = 0; ms <= 4'000; ms += 250) {
-    Demand demand;
-    demand.work[Model(0)] = 2'000 - ms * 0.2;
-    demand.work[Model(1)] = ms * 0.2;
-    forecast.Update(At(ms), demand);
-  }
-  const Demand ahead = forecast.Ahead(milliseconds(4'000));
-  CHECK(ahead.work.at(Model(1)) > 1'200);
-  // It has 1,200 now and keeps copies for most of that.
-  CHECK(ahead.work.at(Model(0)) < 1'200);
-  CHECK(ahead.work.at(Model(0)) > 600);
-}
-
-TEST_CASE("a forecast stays within what all models have together") {
-  DemandForecast forecast;
-  for (int ms = 0; ms <= 2'000; ms += 250) {
-    Demand demand;
-    demand.work[Model(0)] = ms;
-    forecast.Update(At(ms), demand);
-  }
-  CHECK(forecast.Ahead(std::chrono::seconds(60)).work.at(Model(0)) <= 2'000);
-  CHECK(DemandForecast().Ahead(milliseconds(1)).work.empty());
-}
-
 }  // namespace
 }  // namespace figwell::serving
--- /dev/null
+++ b/libs/serving/tests/demand_test.cc
@@ -0,0 +1,57 @@
+#include "figwell/serving/demand.h"
+
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+ModelId Model(int number) {
+  return ModelId(std::string("m").append(std::to_string(number)));
+}
+
+TEST_CASE("rates are those of the last moments, for models and adapters") {
+  DemandMeter meter;
+  const ModelTarget target{Model(0), "a1"};
+  // 20 requests a second of 30 ms each.
+  for (int ms = 0; ms < 10'000; ms += 50) {
+    meter.OnRequest(At(ms), target, milliseconds(30));
+  }
+  const Demand demand = meter.Rates(At(10'000));
+  CHECK(demand.work.at(Model(0)) == Approx(600).epsilon(0.1));
+  CHECK(demand.requests.at(target) == Approx(20).epsilon(0.1));
+  CHECK(meter.Rates(At(60'000)) == Demand{});
+}
+
+TEST_CASE("a forecast sees a shift of demand before it has happened") {
+  DemandForecast forecast;
+  // Model 0 falls by 200 a second while model 1 rises by as much.
+  for (int ms = 0; ms <= 4'000; ms += 250) {
+    Demand demand;
+    demand.work[Model(0)] = 2'000 - ms * 0.2;
+    demand.work[Model(1)] = ms * 0.2;
+    forecast.Update(At(ms), demand);
+  }
+  const Demand ahead = forecast.Ahead(milliseconds(4'000));
+  CHECK(ahead.work.at(Model(1)) > 1'200);
+  // It has 1,200 now and keeps copies for most of that.
+  CHECK(ahead.work.at(Model(0)) < 1'200);
+  CHECK(ahead.work.at(Model(0)) > 600);
+}
+
+TEST_CASE("a forecast stays within what all models have together") {
+  DemandForecast forecast;
+  for (int ms = 0; ms <= 2'000; ms += 250) {
+    Demand demand;
+    demand.work[Model(0)] = ms;
+    forecast.Update(At(ms), demand);
+  }
+  CHECK(forecast.Ahead(std::chrono::seconds(60)).work.at(Model(0)) <= 2'000);
+  CHECK(DemandForecast().Ahead(milliseconds(1)).work.empty());
+}
+
+}  // namespace
+}  // namespace figwell::serving
