--- a/libs/serving/src/copies.cc
+++ b/libs/serving/src/copies.cc
@@ -19,7 +19,7 @@
 // What a model without a copy counts beyond its demand: it serves nobody.
 constexpr double kMissingWork = 150;
 // One more copy may give way ahead of its load for each such load time.
-constexpr Duration kLoadTimeAnUnload = std::chrono::milliseconds(2'000);
+constexpr Duration kLoadTimeAnUnload = std::chrono::milliseconds(2'500);
 // A copy makes way only for one that is worth so many times as much.
 constexpr double kClearGain = 1.5;
 // Requests a second and copy from which an adapter gets another copy.
