--- a/apps/edge/registrar.cc
+++ b/apps/edge/registrar.cc
@@ -49,12 +49,11 @@
 
 void Registrar::Register() {
   adapter::Change change;
-  change.writes.push_back(
-      {InstancesPrefix() + state_.settings.instance.value(),
-       Registration{state_.settings.listen_peers,
-                    state_.settings.failure_domain}
-           .ToText(),
-       lease_});
+  change.writes.push_back({InstancesPrefix() + state_.settings.instance.value(),
+                           Registration{state_.settings.listen_peers,
+                                        state_.settings.failure_domain}
+                               .ToText(),
+                           lease_});
   store_.Commit(change, [this](const Result<adapter::ChangeResult>& result) {
     OnAnswer(MonotonicNow(), ErrorOf(result));
   });
--- a/libs/serving/include/figwell/serving/copies.h
+++ b/libs/serving/include/figwell/serving/copies.h
@@ -35,6 +35,7 @@
   kDemand,       ///< its servers have more work than others
   kMakeRoom,     ///< frees memory for a load that follows
   kAdapterIdle,  ///< frees a place for an adapter that is asked for
+  kSpare,        ///< takes an empty place, for what may come
 };
 
 std::string_view Name(MoveReason reason);
--- a/libs/serving/src/copies.cc
+++ b/libs/serving/src/copies.cc
@@ -50,6 +50,7 @@
     PlaceAdapters();
     if (input_.rebalance) {
       AddBusyAdapters();
+      FillVacancies();
     }
     return std::move(moves_);
   }
@@ -331,6 +332,50 @@
     }
   }
 
+  /**
+   * Takes places that nothing needs for models that may be asked for next:
+   * those with many adapters and few copies. Demand moves faster than a load,
+   * and a lone copy may be lost with its server.
+   */
+  void FillVacancies() {
+    std::map<ModelId, int> copies = copies_;
+    while (loads_left_ > 0) {
+      std::optional<Place> best;
+      ModelId model;
+      double most = 0;
+      for (const auto& [id, spec] : input_.engine.models) {
+        const double worth = (1.0 + spec.adapters) / (1.0 + copies[id]);
+        if (worth <= most) {
+          continue;
+        }
+        if (auto place = FindVacancy(id)) {
+          best = std::move(place);
+          model = id;
+          most = worth;
+        }
+      }
+      if (!best) {
+        return;
+      }
+      ++copies[model];
+      LoadModel(best->server, model, MoveReason::kSpare);
+    }
+  }
+
+  std::optional<Place> FindVacancy(const ModelId& model) const {
+    std::optional<Place> best;
+    for (const auto& [id, server] : input_.servers) {
+      if (!Free(id) || server.models.contains(model) || !Fits(server, model)) {
+        continue;
+      }
+      const double cost = ServerWork(server);
+      if (!best || cost < best->cost) {
+        best = Place{id, std::nullopt, cost};
+      }
+    }
+    return best;
+  }
+
   int AdapterCount(const EngineState& server) const {
     int count = 0;
     for (const auto& [model, adapters] : server.models) {
@@ -455,6 +500,8 @@
       return "make_room";
     case MoveReason::kAdapterIdle:
       return "adapter_idle";
+    case MoveReason::kSpare:
+      return "spare";
   }
   return "unknown";
 }
--- a/libs/serving/tests/copies_test.cc
+++ b/libs/serving/tests/copies_test.cc
@@ -116,6 +116,24 @@
   CHECK(PlanCopies({engine, servers, demand, 2, true}).empty());
 }
 
+TEST_CASE("an empty place is used for a model that may be asked for next") {
+  EngineSpec engine = MakeEngine(4);
+  engine.models.at(Model(2)).adapters = 1;
+  auto servers = MakeServers({{0, 1, 2}, {0, 1, 3}, {0, 1}});
+  servers.at(Server(0)).models.at(Model(2)).insert("a1");
+  const Demand demand;
+  auto moves = PlanCopies({engine, servers, demand, 2, true});
+  REQUIRE(moves.size() == 1);
+  CHECK(moves[0].server == Server(2));
+  CHECK(moves[0].target.model == Model(2));
+  CHECK(moves[0].reason == MoveReason::kSpare);
+  // Not while the weight store's rate is needed, and never in the place of a
+  // copy.
+  CHECK(PlanCopies({engine, servers, demand, 0, true}).empty());
+  servers.at(Server(2)).models[Model(3)] = {};
+  CHECK(PlanCopies({engine, servers, demand, 2, true}).empty());
+}
+
 TEST_CASE("every adapter gets a place, those that are asked for first") {
   const EngineSpec engine = MakeEngine(1, 20);
   auto servers = MakeServers({{0}, {0}});
