--- a/libs/config/src/edge_settings.cc
+++ b/libs/config/src/edge_settings.cc
@@ -10,7 +10,7 @@
 namespace {
 
 std::string ReadAddress(MappingReader& reader, const std::string& name) {
-  const std::string address = reader.RequiredText(name);
+  std::string address = reader.RequiredText(name);
   if (!address.empty() && !IsIpAndPort(address, /*allow_port_zero=*/true)) {
     reader.Report(name, "must be IP:PORT");
   }
--- a/libs/serving/src/orders.cc
+++ b/libs/serving/src/orders.cc
@@ -76,7 +76,7 @@
     // Made before an order without an answer could have shown.
     return std::nullopt;
   }
-  const std::optional<ModelId> was_loading = state.view.loading;
+  std::optional<ModelId> was_loading = state.view.loading;
   state.known = true;
   state.view.accepted = report.accepted;
   state.view.models = report.models;
--- a/libs/serving/tests/attempts_test.cc
+++ b/libs/serving/tests/attempts_test.cc
@@ -51,7 +51,7 @@
   int retries = 0;
   for (RetryBudget& budget : budgets) {
     budget.SetInstances(kInstances);
-    for (int i = 0; i < 50; ++i) {
+    for (std::int64_t i = 0; i < 50; ++i) {
       budget.NoteFirst(At(i * 100), service);
       ++firsts;
       while (budget.TakeRetry(At(i * 100), service)) {
--- a/libs/serving/tests/balancer_test.cc
+++ b/libs/serving/tests/balancer_test.cc
@@ -201,7 +201,7 @@
   World world;
   world.directory.Put(MakeServer("a", kModels, "here"));
   const double before = world.balancer.MillisecondsPerToken(kModel.model);
-  for (int i = 0; i < 50; ++i) {
+  for (std::int64_t i = 0; i < 50; ++i) {
     const std::int64_t start = i * 10'000;
     const AttemptNumber attempt = world.Send(start, ModelNeeds(2'000));
     // Every fifth answer is quick; the others waited for someone else.
