--- /dev/null
+++ b/libs/config/tests/edge_settings_test.cc
@@ -0,0 +1,55 @@
+#include "figwell/config/edge_settings.h"
+
+#include "figwell/testing.h"
+
+namespace figwell::config {
+namespace {
+
+constexpr std::string_view kSettings = R"(
+instance: "edge-1"
+failure_domain: "lahore"
+listen:
+  callers: "10.1.0.25:8221"
+  ready: "10.1.0.25:8224"
+  metrics: "10.1.0.25:9464"
+  peers: "10.1.0.25:7600"
+store:
+  address: "10.200.1.7:8225"
+bounds:
+  order_separation_ms: 3500
+  retry_ratio: 0.25
+  drain_notice_ms: 3000
+)";
+
+TEST_CASE("settings of an edge are read, with defaults for the rest") {
+  const auto settings = ParseEdgeSettings(kSettings, "edge.yaml");
+  REQUIRE(settings);
+  CHECK(settings->instance == InstanceId("edge-1"));
+  CHECK(settings->listen_peers == "10.1.0.25:7600");
+  CHECK(settings->bounds.order_separation == std::chrono::milliseconds(3'500));
+  CHECK(settings->bounds.retry_ratio == 0.25);
+  CHECK(settings->bounds.drain_notice == std::chrono::milliseconds(3'000));
+  CHECK(settings->bounds.stop_grace == EdgeBounds().stop_grace);
+  CHECK(settings->store_prefix == "figwell/");
+}
+
+TEST_CASE("every fault of an edge's settings is reported with its place") {
+  const auto settings = ParseEdgeSettings(
+      "instance: a\nlisten:\n  callers: nowhere\nbounds:\n"
+      "  retry_ratio: much\n  stop_grace_s: -1\nwhat: 1\n",
+      "edge.yaml");
+  REQUIRE_FALSE(settings);
+  std::string places;
+  for (const Finding& finding : settings.error().findings) {
+    places += finding.place + "\n";
+  }
+  for (const char* place :
+       {"failure_domain", "listen.callers", "listen.ready", "store.address",
+        "bounds.retry_ratio", "bounds.stop_grace_s", "what"}) {
+    INFO(places);
+    CHECK(places.find(place) != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace figwell::config
--- a/libs/telemetry/tests/telemetry_test.cc
+++ b/libs/telemetry/tests/telemetry_test.cc
@@ -1,5 +1,7 @@
 #include "figwell/telemetry.h"
 
+#include <unistd.h>
+
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -93,5 +95,75 @@
   CHECK(summary.p99 == Approx(0.99).margin(0.01));
 }
 
+TEST_CASE("a burst of lines is cut to the bound, and what was cut is counted") {
+  constexpr double kLinesPerSecond = 100;
+  LinePacer pacer(kLinesPerSecond);
+  TimePoint now(std::chrono::seconds(100));
+  int written = 0;
+  constexpr int kLines = 20'000;
+  constexpr int kSeconds = 10;
+  for (int i = 0; i < kLines; ++i) {
+    now += std::chrono::microseconds(1'000'000) * kSeconds / kLines;
+    written += pacer.Admit(now) ? 1 : 0;
+  }
+  // The bound's rate, and the lines of a few seconds at once.
+  CHECK(written <= kLinesPerSecond * (kSeconds + 4));
+  CHECK(written >= kLinesPerSecond * kSeconds);
+  CHECK(pacer.TakeDropped() == static_cast<std::uint64_t>(kLines - written));
+  CHECK(pacer.TakeDropped() == 0);
+  LinePacer unbounded(0);
+  CHECK(unbounded.Admit(now));
+}
+
+TEST_CASE("a blocked standard output stalls nothing") {
+  // Standard output becomes a pipe that nobody reads.
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  const int before = dup(STDOUT_FILENO);
+  REQUIRE(dup2(ends[1], STDOUT_FILENO) >= 0);
+  LogSettings settings;
+  settings.output = Output::kStandardOutput;
+  settings.format = Format::kJson;
+  ConfigureLog(settings);
+  // Far more than a pipe holds; each call returns all the same.
+  constexpr int kLines = 5'000;
+  for (int i = 0; i < kLines; ++i) {
+    Log(Event::kRequestEnded, "answered", {{"request", std::string(200, 'x')}});
+  }
+  // Once it is read again, the next line tells how many were lost.
+  std::string read_back(1 << 20, '\0');
+  const auto first = read(ends[0], read_back.data(), read_back.size());
+  Log(Event::kRequestEnded, "answered", {{"request", "last"}});
+  const auto last = read(ends[0], read_back.data(), read_back.size());
+  dup2(before, STDOUT_FILENO);
+  ConfigureLog({});
+  close(before);
+  close(ends[0]);
+  close(ends[1]);
+  REQUIRE(first > 0);
+  REQUIRE(last > 0);
+  read_back.resize(static_cast<std::size_t>(last));
+  CHECK(read_back.find("lines_dropped_before") != std::string::npos);
+  CHECK(read_back.find("\"request\":\"last\"") != std::string::npos);
+}
+
+TEST_CASE("a histogram shows cumulative buckets up to infinity") {
+  Registry registry;
+  Histogram& histogram = registry.GetHistogram("figwell_answer_seconds");
+  for (const double seconds : {0.004, 0.15, 0.15, 20.0}) {
+    histogram.Record(seconds);
+  }
+  const std::string text = registry.Render();
+  CHECK(text.find("# TYPE figwell_answer_seconds histogram") !=
+        std::string::npos);
+  CHECK(text.find("figwell_answer_seconds_bucket{le=\"0.005\"} 1\n") !=
+        std::string::npos);
+  CHECK(text.find("figwell_answer_seconds_bucket{le=\"0.2\"} 3\n") !=
+        std::string::npos);
+  CHECK(text.find("figwell_answer_seconds_bucket{le=\"+Inf\"} 4\n") !=
+        std::string::npos);
+  CHECK(text.find("figwell_answer_seconds_count 4\n") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace figwell::telemetry
