Check again before an unload that another copy is left; count a first send once

Found while reading the change: an unload leaves 300 ms after it was planned, and the other copies may have gone by then; and a send that reached nobody counted as another first send, so that the retry budget grew with unreachable servers.

--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -48,6 +48,12 @@
     }
     const serving::CopyMove move = unload->second.move;
     unload = unloads_.erase(unload);
+    if (move.target.adapter.empty() &&
+        !state_.directory.HeldElsewhere(move.server, move.target.model)) {
+      // The other copies have gone since the plan.
+      Announce(move.server, move.target, true);
+      continue;
+    }
     SendOrder(now, move);
   }
 }
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -207,11 +207,6 @@
     GiveUp(progress, detail);
     return;
   }
-  if (progress == serving::Progress::kNotSent) {
-    // Nothing reached that server, so it does not count as one of few; but it
-    // is not asked again at once.
-    state_.retries.NoteFirst(now, needs_.service);
-  }
   Attempt();
 }
 
--- a/libs/serving/include/figwell/serving/directory.h
+++ b/libs/serving/include/figwell/serving/directory.h
@@ -81,6 +81,8 @@
   const BackendServer* Find(const ServerId& id) const;
   /** Whether new work may go to the server. */
   bool Usable(const ServerId& id) const;
+  /** Whether a usable server of the same service but this one has the model. */
+  bool HeldElsewhere(const ServerId& id, const ModelId& model) const;
 
  private:
   std::map<ServerId, Entry> entries_;
--- a/libs/serving/src/directory.cc
+++ b/libs/serving/src/directory.cc
@@ -1,5 +1,7 @@
 #include "figwell/serving/directory.h"
 
+#include <algorithm>
+
 namespace figwell::serving {
 
 bool BackendServer::Holds(const ModelTarget& target) const {
@@ -116,4 +118,13 @@
   return server != nullptr && !server->draining;
 }
 
+bool Directory::HeldElsewhere(const ServerId& id, const ModelId& model) const {
+  const BackendServer* server = Find(id);
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
+    const BackendServer& other = item.second.server;
+    return item.first != id && !other.draining && server != nullptr &&
+           other.service == server->service && other.Holds({model, {}});
+  });
+}
+
 }  // namespace figwell::serving
--- a/libs/serving/tests/directory_test.cc
+++ b/libs/serving/tests/directory_test.cc
@@ -70,6 +70,23 @@
   CHECK(directory.Remove(At(20), ServerId("a")) == ServerChange::kGone);
 }
 
+TEST_CASE("a model is held elsewhere only by a usable server") {
+  const ModelId model("m");
+  Directory directory;
+  for (const char* id : {"a", "b"}) {
+    BackendServer server = MakeServer(id);
+    server.models[model] = {};
+    directory.Put(server);
+  }
+  CHECK(directory.HeldElsewhere(ServerId("a"), model));
+  CHECK_FALSE(directory.HeldElsewhere(ServerId("a"), ModelId("other")));
+  BackendServer leaving = *directory.Find(ServerId("b"));
+  leaving.draining = true;
+  directory.Put(leaving);
+  CHECK_FALSE(directory.HeldElsewhere(ServerId("a"), model));
+  CHECK_FALSE(directory.HeldElsewhere(ServerId("unknown"), model));
+}
+
 TEST_CASE("a listing replaces what was known") {
   Directory directory;
   directory.Put(MakeServer("a"));
