--- a/libs/telemetry/src/histogram.cc
+++ b/libs/telemetry/src/histogram.cc
@@ -38,10 +38,12 @@
   Summary summary;
   summary.sum = state_->sum;
   std::uint64_t cumulative = 0;
-  for (const auto& bin : bh::indexed(state_->counts, bh::coverage::all)) {
-    cumulative += static_cast<std::uint64_t>(*bin);
-    if (bin.index() >= 0) {
-      summary.buckets.push_back({bin.bin().upper(), cumulative});
+  const Axis& axis = state_->counts.axis();
+  // Bin -1 holds what is below the first bound, the last what is above all.
+  for (int bin = -1; bin <= axis.size(); ++bin) {
+    cumulative += static_cast<std::uint64_t>(state_->counts.at(bin));
+    if (bin >= 0) {
+      summary.buckets.push_back({axis.bin(bin).upper(), cumulative});
     }
   }
   return summary;
