--- a/libs/http/tests/exchange_test.cc
+++ b/libs/http/tests/exchange_test.cc
@@ -199,6 +199,8 @@
   loopback.server.CloseIdleConnections();
   CHECK(idle.Read("never").empty());
   held->Send({200, {}, "done!"});
+  // The connection must go before the context that it belongs to.
+  held.reset();
   CHECK(busy.Read("done!").ends_with("done!"));
 }
 
