Say once what stood twice: command lines, settings files, log times, registry entries; split the copy planner

- gateway and edge share apps/common/command_line; both settings readers share ParseYaml and ReadSettingsFile; the edge has one Ms and one ReadServer, asks MayTryAgain where it repeated its rule, and asks PlacementHost for the leader instead of reading its key's value again.
- Removed: Edge::Store, PlacementHost::Leads, StoreFollower::heard and its pause parameter (always 0), LoadPacer::capacity_ (a constant).
- PlanCopies: class in copy_planner.h, models in copies.cc, adapters in copies_adapters.cc; sizes that hold for a whole plan are computed once.

No test was changed.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -121,7 +121,6 @@
                  incarnation_),
       configuration_follower_(
           context_, store_, std::string(adapter::kConfigurationPrefix),
-          milliseconds(0),
           {[this](const std::vector<store::KeyValue>& items) {
              for (const store::KeyValue& item : items) {
                OnConfigurationItem(item);
@@ -136,7 +135,6 @@
            [this](Duration) { peers_.NoteStore(true); }}),
       servers_follower_(
           context_, store_, std::string(adapter::kServersPrefix),
-          milliseconds(0),
           {[this](const std::vector<store::KeyValue>& items) {
              OnServersListing(items);
            },
@@ -146,7 +144,7 @@
              state_.directory.StoreRegained(MonotonicNow());
            }}),
       own_follower_(
-          context_, store_, state_.settings.store_prefix, milliseconds(0),
+          context_, store_, state_.settings.store_prefix,
           {[this](const std::vector<store::KeyValue>& items) {
              OnOwnListing(items);
            },
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -39,7 +39,6 @@
   void CheckStopped();
 
   // edge_view.cc
-  adapter::StoreClient& Store() { return store_; }
   void OnConfigurationItem(const store::KeyValue& item);
   void TakeConfiguration(const std::string& document, std::string_view source);
   void OnServersListing(const std::vector<store::KeyValue>& items);
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -28,6 +28,19 @@
       std::clamp<std::int64_t>(value, 0, std::numeric_limits<T>::max()));
 }
 
+// The server that an entry of the registry names, if it can be read.
+std::optional<serving::BackendServer> ReadServer(const store::KeyValue& item) {
+  const ServerId id = adapter::ServerOfKey(item.key);
+  auto server = adapter::DecodeServer(id, item.value);
+  if (server) {
+    return std::move(*server);
+  }
+  telemetry::Log(Event::kEntryUnreadable, server.error().message,
+                 {{"server", id.value()},
+                  {"findings", FormatFindings(server.error().findings)}});
+  return std::nullopt;
+}
+
 }  // namespace
 
 // ------------------------------------------------------------ configuration
@@ -68,14 +81,8 @@
 void Edge::OnServersListing(const std::vector<store::KeyValue>& items) {
   std::vector<serving::BackendServer> servers;
   for (const store::KeyValue& item : items) {
-    const ServerId id = adapter::ServerOfKey(item.key);
-    auto server = adapter::DecodeServer(id, item.value);
-    if (server) {
+    if (auto server = ReadServer(item)) {
       servers.push_back(std::move(*server));
-    } else {
-      telemetry::Log(Event::kEntryUnreadable, server.error().message,
-                     {{"server", id.value()},
-                      {"findings", FormatFindings(server.error().findings)}});
     }
   }
   for (const auto& [id, change] :
@@ -91,11 +98,8 @@
     OnServerChange(id, state_.directory.Remove(now, id));
     return;
   }
-  const auto server = adapter::DecodeServer(id, event.entry.value);
+  const auto server = ReadServer(event.entry);
   if (!server) {
-    telemetry::Log(Event::kEntryUnreadable, server.error().message,
-                   {{"server", id.value()},
-                    {"findings", FormatFindings(server.error().findings)}});
     OnServerChange(id, state_.directory.Remove(now, id));
     return;
   }
@@ -366,13 +370,10 @@
 
 void Edge::TickDemand() {
   const TimePoint now = MonotonicNow();
-  if (holder_) {
-    const InstanceId leader(holder_->value.substr(0, holder_->value.find(' ')));
-    if (leader != state_.settings.instance) {
-      for (const DemandMessage& message :
-           ToMessages(state_.demand.Rates(now))) {
-        peers_.Send(leader, MessageKind::kDemand, message);
-      }
+  const std::optional<InstanceId>& leader = placement_.leader();
+  if (leader && *leader != state_.settings.instance) {
+    for (const DemandMessage& message : ToMessages(state_.demand.Rates(now))) {
+      peers_.Send(*leader, MessageKind::kDemand, message);
     }
   }
   demand_timer_.expires_after(kDemandInterval);
--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -55,8 +55,6 @@
 
 void PlacementHost::Start() { Tick(); }
 
-bool PlacementHost::Leads() const { return lease_.Leads(MonotonicNow()); }
-
 void PlacementHost::Tick() {
   const TimePoint now = MonotonicNow();
   TickLease(now);
--- a/apps/edge/placement_host.h
+++ b/apps/edge/placement_host.h
@@ -39,7 +39,8 @@
   void SetFleetSize(std::size_t instances);
 
   std::string HolderKey() const;
-  bool Leads() const;
+  /** The instance that has the key, as the watch says. */
+  const std::optional<InstanceId>& leader() const { return leader_; }
 
  private:
   struct PendingUnload {
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -1,5 +1,7 @@
 #include "request.h"
 
+#include "log_text.h"
+
 namespace figwell::edge {
 namespace {
 
@@ -11,10 +13,6 @@
 // Nobody knows when a configuration, or a copy of a model, will be there.
 constexpr Duration kRetryAfterUnknown = milliseconds(500);
 
-std::string Ms(Duration duration) {
-  return std::to_string(duration / milliseconds(1));
-}
-
 std::string_view KindName(serving::RequestKind kind) {
   switch (kind) {
     case serving::RequestKind::kIdempotent:
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -1,5 +1,6 @@
 #include <fmt/format.h>
 
+#include "log_text.h"
 #include "request.h"
 
 namespace figwell::edge {
@@ -19,10 +20,6 @@
 // Callers take a Retry-After of up to this part of the time they have left.
 constexpr int kRetryAfterPart = 3;
 
-std::string Ms(Duration duration) {
-  return std::to_string(duration / milliseconds(1));
-}
-
 }  // namespace
 
 void CallerRequest::Attempt() {
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -122,8 +122,9 @@
   }
   constexpr int kServerErrors = 5;
   const bool failed = status_ / 100 == kServerErrors;
-  if (failed && route_->Repeatable() && Remaining().count() > 0 &&
-      static_cast<int>(needs_.tried.size()) < route_->max_servers &&
+  const int sent_to = static_cast<int>(needs_.tried.size());
+  if (failed && Remaining().count() > 0 &&
+      serving::MayTryAgain(*route_, serving::Progress::kRan, sent_to) &&
       state_.balancer.Choose(MonotonicNow(), *catalog_, state_.directory,
                              needs_) &&
       state_.retries.TakeRetry(MonotonicNow(), needs_.service)) {
--- a/apps/edge/store_follower.cc
+++ b/apps/edge/store_follower.cc
@@ -19,11 +19,10 @@
 
 StoreFollower::StoreFollower(boost::asio::io_context& context,
                              adapter::StoreClient& store, std::string prefix,
-                             milliseconds pause, FollowerCallbacks callbacks)
+                             FollowerCallbacks callbacks)
     : timer_(context),
       store_(store),
       prefix_(std::move(prefix)),
-      pause_(pause),
       callbacks_(std::move(callbacks)),
       random_(StableHash(RandomHex(8))) {}
 
@@ -99,11 +98,10 @@
 }
 
 void StoreFollower::OnAnswer() {
-  heard_ = MonotonicNow();
   failures_ = 0;
   if (away_) {
     away_ = false;
-    const Duration away = heard_ - failing_since_;
+    const Duration away = MonotonicNow() - failing_since_;
     telemetry::Log(Event::kDependencyRegained, "the store answers again",
                    {{"dependency", "store"},
                     {"prefix", prefix_},
--- a/apps/edge/store_follower.h
+++ b/apps/edge/store_follower.h
@@ -30,13 +30,14 @@
   /** Failing for so long makes the store count as away. */
   static constexpr Duration kAwayAfter = std::chrono::milliseconds(1'000);
 
-  /** @param pause time between a change and the next watch: changes that come
-   *  close together then cost one call */
   StoreFollower(boost::asio::io_context& context, adapter::StoreClient& store,
-                std::string prefix, std::chrono::milliseconds pause,
-                FollowerCallbacks callbacks);
+                std::string prefix, FollowerCallbacks callbacks);
 
   void Start();
+  /**
+   * The time between a change and the next watch: changes that come close
+   * together then cost one call. None unless this was called.
+   */
   void SetPause(std::chrono::milliseconds pause) { pause_ = pause; }
   /** Reads all items again now, besides any call that is under way. */
   void Refresh();
@@ -45,8 +46,6 @@
   bool away() const { return away_; }
   /** The revision of the newest change seen below the prefix. */
   store::Revision newest() const { return newest_; }
-  /** When the store last answered. */
-  TimePoint heard() const { return heard_; }
 
  private:
   void List();
@@ -59,7 +58,7 @@
   boost::asio::steady_timer timer_;
   adapter::StoreClient& store_;
   std::string prefix_;
-  std::chrono::milliseconds pause_;
+  std::chrono::milliseconds pause_{0};
   FollowerCallbacks callbacks_;
   Random random_;
   /** Answers to calls of an earlier round are ignored. */
@@ -68,7 +67,6 @@
   bool away_ = false;
   int failures_ = 0;
   TimePoint failing_since_;
-  TimePoint heard_;
   store::Revision after_ = 0;
   store::Revision newest_ = 0;
 };
--- a/apps/gateway/main.cc
+++ b/apps/gateway/main.cc
@@ -1,19 +1,16 @@
 // figwell-gateway: takes callers' requests and answers them from backend
 // servers. One control thread (this one), N traffic threads.
 
-#include <boost/program_options.hpp>
 #include <iostream>
 
 #include "admin.h"
+#include "command_line.h"
 #include "control.h"
 
 namespace figwell::gateway {
 namespace {
 
 namespace asio = boost::asio;
-namespace options = boost::program_options;
-
-constexpr int kUsageStatus = 2;
 
 /** The balancer in front goes on sending for so long after readiness ended. */
 constexpr std::chrono::milliseconds kBalancerLag{2'000};
@@ -21,44 +18,6 @@
 /** Units that cannot be given back by then (the store is away) lapse. */
 constexpr std::chrono::seconds kLongestLeave{15};
 
-struct CommandLine {
-  std::string settings;
-  bool check = false;
-};
-
-// Reads the command line; a status to exit with if there is nothing to run.
-std::optional<int> ReadCommandLine(int argc, char** argv,
-                                   CommandLine& command_line) {
-  options::options_description description("figwell-gateway");
-  description.add_options()("settings", options::value<std::string>(),
-                            "the YAML settings file")(
-      "check", "check the settings and exit")("help", "show this text")(
-      "version", "show the version");
-  options::variables_map values;
-  try {
-    options::store(options::parse_command_line(argc, argv, description),
-                   values);
-  } catch (const options::error& error) {
-    std::cerr << "figwell-gateway: " << error.what() << '\n';
-    return kUsageStatus;
-  }
-  if (values.count("help") > 0) {
-    std::cout << description;
-    return 0;
-  }
-  if (values.count("version") > 0) {
-    std::cout << "figwell-gateway " << FIGWELL_VERSION << '\n';
-    return 0;
-  }
-  if (values.count("settings") == 0) {
-    std::cerr << "figwell-gateway: --settings FILE is needed\n";
-    return kUsageStatus;
-  }
-  command_line.settings = values["settings"].as<std::string>();
-  command_line.check = values.count("check") > 0;
-  return std::nullopt;
-}
-
 /** The running process: threads, listeners, signals and the way to the end. */
 class Gateway {
  public:
@@ -207,17 +166,19 @@
 };
 
 int Main(int argc, char** argv) {
-  CommandLine command_line;
-  if (const auto status = ReadCommandLine(argc, argv, command_line)) {
+  daemon::CommandLine command_line;
+  if (const auto status = daemon::ReadCommandLine(argc, argv, "figwell-gateway",
+                                                  daemon::SettingsOption::kFile,
+                                                  command_line)) {
     return *status;
   }
   const auto settings =
-      config::LoadSettings(command_line.settings, config::Role::kGateway);
+      config::LoadSettings(command_line.settings_file, config::Role::kGateway);
   if (!settings) {
     std::cerr << (settings.error().findings.empty()
                       ? settings.error().message + "\n"
                       : FormatFindings(settings.error().findings));
-    return kUsageStatus;
+    return daemon::kUsageStatus;
   }
   if (command_line.check) {
     return 0;
--- a/libs/config/src/edge_settings.cc
+++ b/libs/config/src/edge_settings.cc
@@ -1,8 +1,5 @@
 #include "figwell/config/edge_settings.h"
 
-#include <fstream>
-#include <iterator>
-
 #include "address.h"
 #include "yaml_reader.h"
 
@@ -87,28 +84,15 @@
 
 Result<EdgeSettings> ParseEdgeSettings(std::string_view yaml,
                                        const std::string& file) {
-  FindingSink sink{file, {}};
-  EdgeSettings settings;
-  try {
-    settings = ReadEdgeSettings(YAML::Load(std::string(yaml)), sink);
-  } catch (const YAML::ParserException& error) {
-    sink.Report(error.mark, "", "not YAML: " + error.msg);
-  } catch (const YAML::Exception& error) {
-    sink.Report(error.mark, "", error.msg);
-  }
-  if (!sink.findings.empty()) {
-    return Fail(std::move(sink.findings));
-  }
-  return settings;
+  return ParseYaml<EdgeSettings>(yaml, file, ReadEdgeSettings);
 }
 
 Result<EdgeSettings> LoadEdgeSettings(const std::string& file) {
-  std::ifstream stream(file, std::ios::binary);
-  if (!stream) {
-    return Fail(ErrorCode::kNotFound, "cannot read " + file);
+  const Result<std::string> text = ReadSettingsFile(file);
+  if (!text) {
+    return tl::unexpected(text.error());
   }
-  const std::string text(std::istreambuf_iterator<char>(stream), {});
-  return ParseEdgeSettings(text, file);
+  return ParseEdgeSettings(*text, file);
 }
 
 }  // namespace figwell::config
--- a/libs/config/src/settings.cc
+++ b/libs/config/src/settings.cc
@@ -1,6 +1,4 @@
 #include <filesystem>
-#include <fstream>
-#include <iterator>
 
 #include "address.h"
 #include "figwell/config.h"
@@ -139,28 +137,18 @@
 
 Result<Settings> ParseSettings(std::string_view yaml, const std::string& file,
                                Role role) {
-  FindingSink sink{file, {}};
-  Settings settings;
-  try {
-    settings = ReadSettings(YAML::Load(std::string(yaml)), role, sink);
-  } catch (const YAML::ParserException& error) {
-    sink.Report(error.mark, "", "not YAML: " + error.msg);
-  } catch (const YAML::Exception& error) {
-    sink.Report(error.mark, "", error.msg);
-  }
-  if (!sink.findings.empty()) {
-    return Fail(std::move(sink.findings));
-  }
-  return settings;
+  return ParseYaml<Settings>(
+      yaml, file, [role](const YAML::Node& document, FindingSink& sink) {
+        return ReadSettings(document, role, sink);
+      });
 }
 
 Result<Settings> LoadSettings(const std::string& file, Role role) {
-  std::ifstream stream(file, std::ios::binary);
-  if (!stream) {
-    return Fail(ErrorCode::kNotFound, "cannot read " + file);
+  const Result<std::string> text = ReadSettingsFile(file);
+  if (!text) {
+    return tl::unexpected(text.error());
   }
-  const std::string text(std::istreambuf_iterator<char>(stream), {});
-  Result<Settings> settings = ParseSettings(text, file, role);
+  Result<Settings> settings = ParseSettings(*text, file, role);
   if (settings) {
     settings->peer_secret_file = RelativeTo(file, settings->peer_secret_file);
     settings->peer_other_secret_file =
--- a/libs/config/src/yaml_reader.cc
+++ b/libs/config/src/yaml_reader.cc
@@ -1,7 +1,18 @@
 #include "yaml_reader.h"
 
+#include <fstream>
+#include <iterator>
+
 namespace figwell::config {
 
+Result<std::string> ReadSettingsFile(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  if (!stream) {
+    return Fail(ErrorCode::kNotFound, "cannot read " + file);
+  }
+  return std::string(std::istreambuf_iterator<char>(stream), {});
+}
+
 void FindingSink::Report(const YAML::Mark& mark, const std::string& path,
                          std::string message) {
   // yaml-cpp counts from 0, editors count from 1; a node without a place has
--- a/libs/config/src/yaml_reader.h
+++ b/libs/config/src/yaml_reader.h
@@ -23,6 +23,31 @@
               std::string message);
 };
 
+/**
+ * Reads a YAML document with `read(node, sink)`; kInvalid with every finding,
+ * those of the parser included.
+ */
+template <typename T, typename Read>
+Result<T> ParseYaml(std::string_view yaml, const std::string& file,
+                    Read&& read) {
+  FindingSink sink{file, {}};
+  T value;
+  try {
+    value = read(YAML::Load(std::string(yaml)), sink);
+  } catch (const YAML::ParserException& error) {
+    sink.Report(error.mark, "", "not YAML: " + error.msg);
+  } catch (const YAML::Exception& error) {
+    sink.Report(error.mark, "", error.msg);
+  }
+  if (!sink.findings.empty()) {
+    return Fail(std::move(sink.findings));
+  }
+  return value;
+}
+
+/** A file's bytes; kNotFound if it cannot be read. */
+Result<std::string> ReadSettingsFile(const std::string& file);
+
 class MappingReader {
  public:
   /** A node that is not a mapping is a finding, and so is a repeated field. */
--- a/libs/serving/include/figwell/serving/orders.h
+++ b/libs/serving/include/figwell/serving/orders.h
@@ -140,7 +140,6 @@
   void Refill(TimePoint now);
 
   double rate_ = 0;
-  double capacity_ = 0;
   double level_ = 0;
   TimePoint last_;
 };
--- /dev/null
+++ b/libs/serving/src/copy_planner.h
@@ -0,0 +1,138 @@
+#ifndef FIGWELL_SERVING_SRC_COPY_PLANNER_H_
+#define FIGWELL_SERVING_SRC_COPY_PLANNER_H_
+
+/** One run of PlanCopies: models in copies.cc, adapters in copies_adapters.cc.
+ */
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "figwell/serving/copies.h"
+
+namespace figwell::serving {
+
+// What a slow load costs, in milliseconds of work a second: a server that has
+// the weights at hand is chosen unless it has so much more to do.
+inline constexpr double kBusyWork = 350;
+
+class Planner {
+ public:
+  explicit Planner(const CopyPlanInput& input);
+
+  std::vector<CopyMove> Plan();
+
+ private:
+  void NoteSizes();
+  double Work(const ModelId& model) const;
+  double Requests(const ModelTarget& target) const;
+  double WorkPerCopy(const ModelId& model, int copies) const;
+  int Copies(const ModelId& model) const;
+
+  /** Work a second that reaches a server if each model's copies share. */
+  double ServerWork(const EngineState& server) const;
+
+  bool Free(const ServerId& id) const;
+
+  double WeightOf(const ModelId& model) const;
+  double UsedMb(const EngineState& server) const;
+  bool Fits(const EngineState& server, const ModelId& model) const;
+
+  void Add(const ServerId& server, OrderAction action,
+           const ModelTarget& target, MoveReason reason);
+
+  void LoadModel(const ServerId& server, const ModelId& model,
+                 MoveReason reason);
+
+  bool MayLoad(const EngineState& server, const ModelId& model) const;
+
+  /**
+   * How many copies each model should have: one each, and the other places to
+   * the models with the most work a copy, as far as it is worth a copy.
+   */
+  void SetTargets();
+
+  /** Models that fit into a server: those it holds, and more of average size.
+   */
+  int PlacesOf(const EngineState& server) const;
+
+  /**
+   * A place that is empty, or is being emptied, waits for a load. No further
+   * copy gives way for loads that could not begin.
+   */
+  void ReserveLoadsForVacancies();
+
+  /**
+   * Copies that may give way before their loads are allowed: an unload waits
+   * for its runs to end. A place that stays empty is dear where loads are
+   * quick, since the copy that left it would have been worth more.
+   */
+  int UnloadsAhead() const;
+
+  bool IsLoading(const EngineState& server) const;
+
+  int Target(const ModelId& model) const;
+
+  /**
+   * The copy on the server whose loss matters least. It has to be worth
+   * clearly less than the one that is wanted, or models would change places
+   * over and over.
+   */
+  std::optional<ModelId> Victim(const EngineState& server,
+                                const ModelId& wanted) const;
+
+  struct Place {
+    ServerId server;
+    std::optional<ModelId> victim;
+    double cost = 0;
+  };
+
+  /** Where a further copy costs least; a victim has to go first if it is set.
+   */
+  std::optional<Place> FindPlace(const ModelId& model) const;
+
+  void Carry(const Place& place, const ModelId& model, MoveReason reason);
+
+  /** Copies that are missing, those with the most work first. */
+  void PlaceModels();
+
+  /**
+   * Takes places that nothing needs for models that may be asked for next:
+   * those with many adapters and few copies. Demand moves faster than a load,
+   * and a lone copy may be lost with its server.
+   */
+  void FillVacancies();
+
+  std::optional<Place> FindVacancy(const ModelId& model) const;
+
+  int AdapterCount(const EngineState& server) const;
+
+  /** The server with a free place that has the fewest adapters. */
+  std::optional<ServerId> AdapterPlace(const ModelTarget& target) const;
+
+  /** Frees a place for `target` by unloading an adapter asked for less. */
+  void MakeAdapterPlace(const ModelTarget& target);
+
+  void PlaceAdapters();
+
+  void AddBusyAdapters();
+
+  const CopyPlanInput& input_;
+  double capacity_ = 0;  // for weights, without what adapters may take
+  double largest_weight_ = 0;
+  double average_weight_ = 0;
+  Duration longest_load_{0};
+  int loads_left_;
+  int evictions_left_ = 0;
+  std::map<ModelId, int> copies_;
+  std::map<ModelTarget, int> adapter_copies_;
+  std::map<ModelId, int> targets_;
+  std::set<ModelId> stuck_;  // no place can be found now
+  std::set<ServerId> ordered_;
+  std::vector<CopyMove> moves_;
+};
+
+}  // namespace figwell::serving
+
+#endif  // FIGWELL_SERVING_SRC_COPY_PLANNER_H_
--- a/libs/serving/src/orders.cc
+++ b/libs/serving/src/orders.cc
@@ -186,7 +186,6 @@
 
 void LoadPacer::Configure(double loads_per_second) {
   rate_ = loads_per_second * kUsedRate;
-  capacity_ = kBurstLoads;
 }
 
 void LoadPacer::Reset(TimePoint now) {
@@ -197,7 +196,7 @@
 void LoadPacer::Refill(TimePoint now) {
   if (now > last_) {
     level_ = std::min(
-        capacity_,
+        kBurstLoads,
         level_ + rate_ * static_cast<double>((now - last_).count()) / 1e6);
     last_ = now;
   }
