--- a/libs/serving/include/figwell/serving/directory.h
+++ b/libs/serving/include/figwell/serving/directory.h
@@ -34,8 +34,21 @@
   friend bool operator==(const BackendServer&, const BackendServer&) = default;
 };
 
-/** How a server that left the registry is to be treated. */
+/**
+ * An entry that lapsed while the store was away has this long to return, from
+ * the store's return on (the users' second letter).
+ */
 inline constexpr Duration kLapseGrace = std::chrono::milliseconds(2'000);
+/**
+ * A removal that comes this long after the store's return was not made during
+ * the outage: what the store had to catch up on arrives with its first answer.
+ */
+inline constexpr Duration kCatchUp = std::chrono::milliseconds(200);
+/**
+ * What such a later removal still gets, in case the entry lapsed just as the
+ * store came back. Short beside the notice of a server that really left.
+ */
+inline constexpr Duration kLateLapseGrace = std::chrono::milliseconds(800);
 
 /** What a change of the directory did to one server. */
 enum class ServerChange {
@@ -58,7 +71,7 @@
  public:
   struct Entry {
     BackendServer server;
-    /** Set when the entry lapsed around an outage of the store. */
+    /** When the server counts as gone, if its entry lapsed in an outage. */
     std::optional<TimePoint> gone_at;
   };
 
@@ -85,9 +98,12 @@
   bool HeldElsewhere(const ServerId& id, const ModelId& model) const;
 
  private:
+  /** The end of the grace for an entry that lapses now, if it has any. */
+  std::optional<TimePoint> GraceEnd(TimePoint now) const;
+
   std::map<ServerId, Entry> entries_;
   bool store_away_ = false;
-  TimePoint forgiving_until_;
+  std::optional<TimePoint> regained_at_;
 };
 
 }  // namespace figwell::serving
--- a/libs/serving/src/directory.cc
+++ b/libs/serving/src/directory.cc
@@ -49,16 +49,27 @@
   return began_draining ? ServerChange::kDraining : ServerChange::kUpdated;
 }
 
+std::optional<TimePoint> Directory::GraceEnd(TimePoint now) const {
+  if (store_away_) {
+    return TimePoint::max();  // set once the store is back
+  }
+  if (!regained_at_ || now >= *regained_at_ + kLapseGrace) {
+    return std::nullopt;
+  }
+  const TimePoint end = *regained_at_ + kLapseGrace;
+  return now < *regained_at_ + kCatchUp ? end
+                                        : std::min(end, now + kLateLapseGrace);
+}
+
 ServerChange Directory::Remove(TimePoint now, const ServerId& id) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) {
     return ServerChange::kUnchanged;
   }
   Entry& entry = found->second;
-  if ((store_away_ || now < forgiving_until_) && !entry.server.draining) {
-    if (!entry.gone_at) {
-      entry.gone_at = now + kLapseGrace;
-    }
+  const auto grace_end = GraceEnd(now);
+  if (grace_end && !entry.server.draining) {
+    entry.gone_at = std::min(entry.gone_at.value_or(*grace_end), *grace_end);
     return ServerChange::kUnchanged;
   }
   entries_.erase(found);
@@ -86,10 +97,16 @@
 }
 
 void Directory::StoreRegained(TimePoint now) {
-  if (store_away_) {
-    forgiving_until_ = now + kLapseGrace;
+  if (!store_away_) {
+    return;
   }
   store_away_ = false;
+  regained_at_ = now;
+  for (auto& [id, entry] : entries_) {
+    if (entry.gone_at) {
+      entry.gone_at = now + kLapseGrace;
+    }
+  }
 }
 
 std::vector<ServerId> Directory::Expire(TimePoint now) {
--- a/libs/serving/tests/directory_test.cc
+++ b/libs/serving/tests/directory_test.cc
@@ -60,6 +60,49 @@
   CHECK(directory.Remove(At(63'000), ServerId("a")) == ServerChange::kGone);
 }
 
+TEST_CASE("a server that leaves after the store's return goes in time") {
+  // A machine that the store turned away for a while reads of a real removal
+  // within its grace: the notice of that removal runs all the same.
+  Directory directory;
+  directory.Put(MakeServer("a"));
+  directory.StoreLost();
+  directory.StoreRegained(At(10'000));
+  CHECK(directory.Remove(At(11'700), ServerId("a")) ==
+        ServerChange::kUnchanged);
+  CHECK(directory.Expire(At(12'000)) == std::vector<ServerId>{ServerId("a")});
+}
+
+TEST_CASE("no removal outlives the grace that began with the store's return") {
+  for (int removed_ms = 0; removed_ms <= 2'500; removed_ms += 50) {
+    Directory directory;
+    directory.Put(MakeServer("a"));
+    directory.StoreLost();
+    directory.StoreRegained(At(10'000));
+    directory.Remove(At(10'000 + removed_ms), ServerId("a"));
+    directory.Expire(At(12'000));
+    CHECK(directory.Find(ServerId("a")) == nullptr);
+    if (removed_ms >= 200) {
+      Directory late;
+      late.Put(MakeServer("a"));
+      late.StoreLost();
+      late.StoreRegained(At(10'000));
+      late.Remove(At(10'000 + removed_ms), ServerId("a"));
+      late.Expire(At(10'000 + removed_ms + 800));
+      CHECK(late.Find(ServerId("a")) == nullptr);
+    }
+  }
+}
+
+TEST_CASE("what lapsed in an outage has its grace from the return on") {
+  Directory directory;
+  directory.Put(MakeServer("a"));
+  directory.StoreLost();
+  directory.Remove(At(1'000), ServerId("a"));
+  directory.StoreRegained(At(9'000));
+  CHECK(directory.Expire(At(10'900)).empty());
+  CHECK(directory.Expire(At(11'000)) == std::vector<ServerId>{ServerId("a")});
+}
+
 TEST_CASE("a server that was draining is not given grace") {
   Directory directory;
   BackendServer leaving = MakeServer("a");
