--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -221,7 +221,7 @@
   const TimePoint now = MonotonicNow();
   const auto loads = LoadsOf(status);
   state_.balancer.OnPeerLoads(now, from, loads);
-  state_.allowances.OnPeer(now, from, status.incarnation, status.spending);
+  state_.allowances.OnPeer(now, from, {status.incarnation, 1, status.spending});
   summary_.OnMember(now, from, status.incarnation, loads, status.spending);
   CompareRevision(from, status.servers_revision);
 }
@@ -234,8 +234,9 @@
   const TimePoint now = MonotonicNow();
   const InstanceId standin = StandInFor(DomainId(message.domain));
   state_.balancer.OnPeerLoads(now, standin, LoadsOf(message.sums));
-  state_.allowances.OnPeer(now, standin, message.sums.incarnation,
-                           message.sums.spending);
+  state_.allowances.OnPeer(
+      now, standin,
+      {message.sums.incarnation, message.instances, message.sums.spending});
   CompareRevision(standin, message.sums.servers_revision);
   const auto reachable = peers_.Reachable();
   const auto sender = reachable.find(from);
@@ -358,7 +359,7 @@
     return;
   }
   const DomainStatusMessage message{
-      own.value(),
+      own.value(), Clamp<std::uint16_t>(summary_.Instances(now)),
       MakeStatus(StableHash(state_.settings.instance.value(), incarnation_),
                  summary_.Loads(now, loads), summary_.Spending(spending))};
   for (const auto& [domain, delegate] : delegates) {
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -54,6 +54,8 @@
 /** The sums over a domain; goes to the other domains' delegates, and on. */
 struct DomainStatusMessage {
   std::string domain;
+  /** Instances that the sums cover. */
+  std::uint16_t instances = 1;
   StatusMessage sums;
 
   friend bool operator==(const DomainStatusMessage&,
@@ -61,7 +63,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(domain, sums);
+    archive(domain, instances, sums);
   }
 };
 
--- a/libs/serving/include/figwell/serving/allowance.h
+++ b/libs/serving/include/figwell/serving/allowance.h
@@ -30,6 +30,18 @@
   }
 };
 
+/** What one instance tells of its own charges, or of its domain's. */
+struct SpendingReport {
+  /** Tells one series of counts from the next, and speakers apart. */
+  std::uint64_t incarnation = 0;
+  /** Instances whose charges are in the counts, the sender's included. */
+  int instances = 1;
+  std::vector<TeamSpending> spending;
+
+  friend bool operator==(const SpendingReport&,
+                         const SpendingReport&) = default;
+};
+
 /** A peer that was not heard for so long spends from its own part. */
 inline constexpr Duration kSpendingSilence = std::chrono::milliseconds(700);
 
@@ -66,8 +78,8 @@
    * stands for.
    */
   void SetPeers(TimePoint now, const std::map<InstanceId, int>& peers);
-  void OnPeer(TimePoint now, const InstanceId& peer, std::uint64_t incarnation,
-              const std::vector<TeamSpending>& spending);
+  void OnPeer(TimePoint now, const InstanceId& peer,
+              const SpendingReport& report);
 
   Verdict Charge(TimePoint now, const TeamId& team, Tokens cost);
   /** A charged request turned out not to run. */
@@ -94,13 +106,27 @@
     /** Whether a peer's level was taken over since the start. */
     bool joined = false;
   };
-  struct Peer {
-    std::uint64_t incarnation = 0;
-    std::optional<TimePoint> heard;
+  /** One series of counts. */
+  struct Speaker {
+    TimePoint heard;
+    int instances = 1;
     std::map<std::uint64_t, Tokens> spent;
+  };
+  /**
+   * While members learn of each other, several speak for one domain and their
+   * counts overlap. Only those of one of them are charged: of the one that
+   * speaks for the most instances.
+   */
+  struct Peer {
     int instances = 1;
+    std::map<std::uint64_t, Speaker> speakers;  // by incarnation
+    std::uint64_t current = 0;
   };
 
+  /** The speaker that counts, if it was heard lately. */
+  static const Speaker* Current(const Peer& peer, TimePoint now);
+  static void ChooseSpeaker(Peer& peer, std::uint64_t incarnation,
+                            TimePoint now);
   void Advance(TimePoint now);
   /** The part of the limits that belongs to the instances heard. */
   double Part(TimePoint now) const;
--- a/libs/serving/include/figwell/serving/summary.h
+++ b/libs/serving/include/figwell/serving/summary.h
@@ -20,7 +20,9 @@
  * with the square of the fleet.
  *
  * The sums of charges only grow: an instance that restarted counts from 0
- * again, and one that fell silent keeps what it had charged.
+ * again, and one that fell silent keeps what it had charged. What an instance
+ * charged before it was first heard, or while it was silent, is not in them: it
+ * is of any age, or was charged to the silent one's own part.
  */
 class DomainSummary {
  public:
@@ -34,6 +36,8 @@
       TimePoint now, const std::map<ServerId, PeerLoad>& own) const;
   std::vector<TeamSpending> Spending(
       const std::vector<TeamSpending>& own) const;
+  /** Instances whose charges are in the sums now, with this one. */
+  int Instances(TimePoint now) const;
 
  private:
   struct Member {
--- a/libs/serving/src/allowance.cc
+++ b/libs/serving/src/allowance.cc
@@ -20,11 +20,33 @@
 
 }  // namespace
 
+const Allowances::Speaker* Allowances::Current(const Peer& peer,
+                                               TimePoint now) {
+  const auto found = peer.speakers.find(peer.current);
+  return found != peer.speakers.end() &&
+                 found->second.heard + kSpendingSilence >= now
+             ? &found->second
+             : nullptr;
+}
+
+void Allowances::ChooseSpeaker(Peer& peer, std::uint64_t incarnation,
+                               TimePoint now) {
+  const Speaker* current = Current(peer, now);
+  // A single instance that restarted is followed at once.
+  if (current == nullptr || peer.instances == 1 ||
+      peer.speakers[incarnation].instances > current->instances) {
+    peer.current = incarnation;
+  }
+  std::erase_if(peer.speakers, [&](const auto& item) {
+    return item.second.heard + kSpendingSilence < now;
+  });
+}
+
 double Allowances::Part(TimePoint now) const {
   int heard = 1;
   for (const auto& [id, peer] : peers_) {
-    if (peer.heard && *peer.heard + kSpendingSilence >= now) {
-      heard += peer.instances;
+    if (const Speaker* speaker = Current(peer, now)) {
+      heard += std::min(speaker->instances, peer.instances);
     }
   }
   return static_cast<double>(heard) / Instances();
@@ -105,16 +127,19 @@
 }
 
 void Allowances::OnPeer(TimePoint now, const InstanceId& id,
-                        std::uint64_t incarnation,
-                        const std::vector<TeamSpending>& spending) {
+                        const SpendingReport& report) {
   Advance(now);
   Peer& peer = peers_[id];
-  const bool continues = peer.incarnation == incarnation && peer.heard &&
-                         *peer.heard + kSpendingSilence >= now;
-  peer.incarnation = incarnation;
-  peer.heard = now;
+  const auto known = peer.speakers.find(report.incarnation);
+  const bool continues = known != peer.speakers.end() &&
+                         known->second.heard + kSpendingSilence >= now;
+  Speaker& speaker = peer.speakers[report.incarnation];
+  speaker.heard = now;
+  speaker.instances = report.instances;
+  ChooseSpeaker(peer, report.incarnation, now);
+  const bool counts = peer.current == report.incarnation;
   std::map<std::uint64_t, const TeamSpending*> told;
-  for (const TeamSpending& item : spending) {
+  for (const TeamSpending& item : report.spending) {
     told.emplace(item.team, &item);
   }
   for (auto& [team, bucket] : buckets_) {
@@ -123,17 +148,17 @@
       continue;
     }
     const TeamSpending& news = *item->second;
-    const auto before = peer.spent.find(bucket.hash);
-    if (continues && before != peer.spent.end()) {
+    const auto before = speaker.spent.find(bucket.hash);
+    if (continues && before != speaker.spent.end()) {
       // Reports may overtake each other.
-      bucket.level -=
-          static_cast<double>(std::max<Tokens>(0, news.spent - before->second));
+      const Tokens more = std::max<Tokens>(0, news.spent - before->second);
+      bucket.level -= counts ? static_cast<double>(more) : 0;
     } else if (!bucket.joined) {
       bucket.level = std::min(bucket.level, static_cast<double>(news.level));
     }
     bucket.joined = true;
-    Tokens& known = peer.spent[bucket.hash];
-    known = continues ? std::max(known, news.spent) : news.spent;
+    Tokens& spent = speaker.spent[bucket.hash];
+    spent = continues ? std::max(spent, news.spent) : news.spent;
   }
 }
 
--- a/libs/serving/src/summary.cc
+++ b/libs/serving/src/summary.cc
@@ -23,16 +23,19 @@
                              std::uint64_t incarnation,
                              const std::map<ServerId, PeerLoad>& loads,
                              const std::vector<TeamSpending>& spending) {
-  Member& member = members_[id];
-  const bool restarted = member.incarnation != incarnation;
-  if (restarted) {
+  const auto [found, first] = members_.try_emplace(id);
+  Member& member = found->second;
+  const bool unheard = first || member.heard + kSpendingSilence < now;
+  if (unheard || member.incarnation != incarnation) {
     member.spent.clear();
   }
   member.incarnation = incarnation;
   member.heard = now;
   member.loads = loads;
   for (const TeamSpending& item : spending) {
-    Tokens& before = member.spent[item.team];
+    Tokens& before =
+        member.spent.try_emplace(item.team, unheard ? item.spent : 0)
+            .first->second;
     spent_[item.team] += std::max<Tokens>(0, item.spent - before);
     before = std::max(before, item.spent);
   }
@@ -49,6 +52,13 @@
   return sum;
 }
 
+int DomainSummary::Instances(TimePoint now) const {
+  return 1 + static_cast<int>(std::count_if(
+                 members_.begin(), members_.end(), [&](const auto& item) {
+                   return item.second.heard + kSpendingSilence >= now;
+                 }));
+}
+
 std::vector<TeamSpending> DomainSummary::Spending(
     const std::vector<TeamSpending>& own) const {
   std::vector<TeamSpending> sum = own;
--- /dev/null
+++ b/libs/serving/tests/allowance_fleet_test.cc
@@ -0,0 +1,289 @@
+// Plays a team that asks for many times its limit through a large fleet:
+// failure domains whose delegates pass on sums, processes that are all killed
+// and hear of each other again only bit by bit.
+
+#include <algorithm>
+#include <deque>
+#include <string>
+
+#include "figwell/serving/allowance.h"
+#include "figwell/serving/summary.h"
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kDomains = 5;
+constexpr std::size_t kPerDomain = 17;
+constexpr std::size_t kInstances = kDomains * kPerDomain;
+constexpr Tokens kRate = 121'454;
+// The users' bound: a tenth over the limit and 17,000 tokens in any 8 s.
+constexpr Duration kWindow = std::chrono::seconds(8);
+constexpr Tokens kBound = (kRate * 8 + kRate) * 11 / 10 + 17'000;
+constexpr Duration kStep = milliseconds(10);
+constexpr Duration kReportInterval = milliseconds(200);
+constexpr Duration kShortestInterval = milliseconds(40);
+constexpr Duration kDelay = milliseconds(5);
+// After a restart of all, each learns of each other one within this time.
+constexpr std::uint64_t kLongestJoinMs = 4'000;
+constexpr Tokens kSmallestCost = 200;
+constexpr std::uint64_t kCostSpread = 4'000;  // 2,200 tokens on average
+
+const TeamId kTeam("drivers");
+
+std::string Name(const char* prefix, std::size_t number) {
+  return std::string(prefix).append(std::to_string(number));
+}
+
+class LargeFleet {
+ public:
+  explicit LargeFleet(std::uint64_t seed)
+      : random_(seed), instances_(kInstances) {
+    for (std::size_t i = 0; i < kInstances; ++i) {
+      Restart(i, TimePoint{}, 1);
+    }
+  }
+
+  /** Kills all processes; each comes back within a second. */
+  void KillAll(TimePoint now) {
+    for (std::size_t i = 0; i < kInstances; ++i) {
+      const Duration down = milliseconds(400 + random_.Below(600));
+      Restart(i, now + down, kLongestJoinMs);
+    }
+  }
+
+  /** Callers ask for `times` the limit for one step. */
+  void Step(TimePoint now, double times) {
+    Deliver(now);
+    asked_ += times * static_cast<double>(kRate) *
+              static_cast<double>(kStep.count()) / 1e6;
+    while (asked_ > 0) {
+      const Tokens cost =
+          kSmallestCost + static_cast<Tokens>(random_.Below(kCostSpread));
+      asked_ -= static_cast<double>(cost);
+      Instance& instance = instances_[random_.Below(kInstances)];
+      if (now >= instance.up &&
+          instance.allowances.Charge(now, kTeam, cost).admitted) {
+        spent_.emplace_back(now, cost);
+      }
+    }
+    for (std::size_t i = 0; i < kInstances; ++i) {
+      if (now >= instances_[i].up) {
+        Report(i, now);
+      }
+    }
+  }
+
+  Tokens MostIn(Duration window) const {
+    Tokens most = 0;
+    Tokens sum = 0;
+    std::size_t first = 0;
+    for (const auto& [at, cost] : spent_) {
+      sum += cost;
+      while (spent_[first].first + window < at) {
+        sum -= spent_[first++].second;
+      }
+      most = std::max(most, sum);
+    }
+    return most;
+  }
+
+  Tokens Between(TimePoint from, TimePoint to) const {
+    Tokens sum = 0;
+    for (const auto& [at, cost] : spent_) {
+      sum += at >= from && at < to ? cost : 0;
+    }
+    return sum;
+  }
+
+ private:
+  struct Instance {
+    Allowances allowances;
+    DomainSummary summary;
+    std::uint64_t incarnation = 0;
+    TimePoint up;
+    TimePoint reported;
+    /** When it learns of each other instance. */
+    std::vector<TimePoint> knows;
+  };
+  struct Message {
+    TimePoint at;
+    std::size_t from = 0;
+    std::size_t to = 0;
+    bool of_domain = false;
+    SpendingReport report;
+    bool forwarded = false;
+  };
+
+  static std::size_t DomainOf(std::size_t i) { return i / kPerDomain; }
+  static InstanceId StandIn(std::size_t domain) {
+    return InstanceId(Name("domain ", domain));
+  }
+
+  void Restart(std::size_t i, TimePoint up, std::uint64_t longest_join_ms) {
+    Instance& instance = instances_[i];
+    instance = Instance();
+    instance.incarnation = ++incarnations_;
+    instance.up = up;
+    for (std::size_t j = 0; j < kInstances; ++j) {
+      instance.knows.push_back(up +
+                               milliseconds(random_.Below(longest_join_ms)));
+    }
+    instance.reported =
+        up - milliseconds(random_.Below(static_cast<std::uint64_t>(
+                 kReportInterval / milliseconds(1))));
+    std::map<InstanceId, int> peers;
+    for (std::size_t j = 0; j < kInstances; ++j) {
+      if (DomainOf(j) == DomainOf(i) && j != i) {
+        peers[InstanceId(Name("i", j))] = 1;
+      }
+    }
+    for (std::size_t domain = 0; domain < kDomains; ++domain) {
+      if (domain != DomainOf(i)) {
+        peers[StandIn(domain)] = kPerDomain;
+      }
+    }
+    instance.allowances.SetPeers(up, peers);
+    TeamSpec team;
+    team.id = kTeam;
+    team.rate = kRate;
+    team.burst = kRate;
+    instance.allowances.Configure(up, {{kTeam, team}});
+  }
+
+  void Send(const Message& message) {
+    messages_.push_back(message);
+    messages_.back().at += kDelay;
+  }
+
+  void Report(std::size_t i, TimePoint now) {
+    Instance& sender = instances_[i];
+    const Duration since = now - sender.reported;
+    const bool urgent =
+        sender.allowances.ReportIsUrgent() && since >= kShortestInterval;
+    if (!urgent && since < kReportInterval) {
+      return;
+    }
+    sender.reported = now;
+    const auto own = sender.allowances.Own(now);
+    const std::size_t first = DomainOf(i) * kPerDomain;
+    for (std::size_t j = first; j < first + kPerDomain; ++j) {
+      if (Knows(i, j, now)) {
+        Send({now, i, j, false, {sender.incarnation, 1, own}});
+      }
+    }
+    if (DelegateOf(DomainOf(i), i, now) != i) {
+      return;
+    }
+    for (std::size_t domain = 0; domain < kDomains; ++domain) {
+      const std::size_t delegate = DelegateOf(domain, i, now);
+      if (domain != DomainOf(i) && delegate != kInstances) {
+        Send({now, i, delegate, true,
+              {sender.incarnation, sender.summary.Instances(now),
+               sender.summary.Spending(own)}});
+      }
+    }
+  }
+
+  bool Knows(std::size_t i, std::size_t other, TimePoint now) const {
+    return i != other && now >= instances_[i].knows[other];
+  }
+
+  // The first of a domain that an instance knows; kInstances if none.
+  std::size_t DelegateOf(std::size_t domain, std::size_t seen_by,
+                         TimePoint now) const {
+    for (std::size_t j = domain * kPerDomain; j < (domain + 1) * kPerDomain;
+         ++j) {
+      if (j == seen_by || Knows(seen_by, j, now)) {
+        return j;
+      }
+    }
+    return kInstances;
+  }
+
+  void Deliver(TimePoint now) {
+    while (!messages_.empty() && messages_.front().at <= now) {
+      const Message message = std::move(messages_.front());
+      messages_.pop_front();
+      Instance& to = instances_[message.to];
+      const Instance& from = instances_[message.from];
+      if (now < to.up || !Knows(message.to, message.from, now) ||
+          message.report.incarnation != from.incarnation) {
+        continue;
+      }
+      if (message.of_domain) {
+        to.allowances.OnPeer(now, StandIn(DomainOf(message.from)),
+                             message.report);
+        if (!message.forwarded) {
+          Forward(message, now);
+        }
+      } else {
+        to.allowances.OnPeer(now, InstanceId(Name("i", message.from)),
+                             message.report);
+        to.summary.OnMember(now, InstanceId(Name("i", message.from)),
+                            message.report.incarnation, {},
+                            message.report.spending);
+      }
+    }
+  }
+
+  void Forward(const Message& message, TimePoint now) {
+    Message copy = message;
+    copy.at = now;
+    copy.forwarded = true;
+    const std::size_t first = DomainOf(message.to) * kPerDomain;
+    for (std::size_t j = first; j < first + kPerDomain; ++j) {
+      if (Knows(message.to, j, now)) {
+        copy.to = j;
+        Send(copy);
+      }
+    }
+  }
+
+  Random random_;
+  std::vector<Instance> instances_;
+  std::uint64_t incarnations_ = 0;
+  std::deque<Message> messages_;
+  double asked_ = 0;
+  std::vector<std::pair<TimePoint, Tokens>> spent_;
+};
+
+TEST_CASE("a large fleet keeps a hot team within its limit") {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    INFO("seed " << seed);
+    LargeFleet fleet(seed);
+    for (TimePoint now; now < TimePoint(std::chrono::seconds(16));
+         now += kStep) {
+      fleet.Step(now, now < TimePoint(std::chrono::seconds(3)) ? 0.5 : 5);
+    }
+    CHECK(fleet.MostIn(kWindow) <= kBound);
+    // What the limit allows is not refused either.
+    CHECK(fleet.Between(TimePoint(std::chrono::seconds(6)),
+                        TimePoint(std::chrono::seconds(16))) >=
+          kRate * 10 * 9 / 10);
+  }
+}
+
+TEST_CASE("a restart of a large fleet gives no burst again") {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    INFO("seed " << seed);
+    LargeFleet fleet(seed);
+    const TimePoint killed(std::chrono::seconds(9));
+    for (TimePoint now; now < TimePoint(std::chrono::seconds(20));
+         now += kStep) {
+      if (now == killed) {
+        fleet.KillAll(now);
+      }
+      fleet.Step(now, now < TimePoint(std::chrono::seconds(5)) ? 0.5 : 5);
+    }
+    CHECK(fleet.MostIn(kWindow) <= kBound);
+    CHECK(fleet.Between(killed + std::chrono::seconds(6),
+                        killed + std::chrono::seconds(11)) >=
+          kRate * 5 * 9 / 10);
+  }
+}
+
+}  // namespace
+}  // namespace figwell::serving
--- a/libs/serving/tests/allowance_test.cc
+++ b/libs/serving/tests/allowance_test.cc
@@ -104,8 +104,8 @@
       reports_.pop_front();
       for (std::size_t i = 0; i < instances_.size(); ++i) {
         if (i != report.from && side[i] == side[report.from]) {
-          instances_[i].OnPeer(now, names_[report.from], report.incarnation,
-                               report.spending);
+          instances_[i].OnPeer(now, names_[report.from],
+                               {report.incarnation, 1, report.spending});
         }
       }
     }
@@ -239,7 +239,7 @@
   const InstanceId peer("peer");
   allowances.SetPeers(At(0), {{peer, 1}});
   allowances.Configure(At(0), Teams(1'000, 1'000));
-  allowances.OnPeer(At(0), peer, 1, {});
+  allowances.OnPeer(At(0), peer, {1, 1, {}});
   while (allowances.Charge(At(10), kTeam, 10).admitted) {
   }
   Tokens spent = 0;
--- a/libs/serving/tests/summary_test.cc
+++ b/libs/serving/tests/summary_test.cc
@@ -30,6 +30,8 @@
   const auto total = [&] {
     return summary.Spending({{kTeam, 10, 0}})[0].spent;
   };
+  summary.OnMember(At(0), kOne, 1, {}, {{kTeam, 0, 0}});
+  summary.OnMember(At(0), kTwo, 1, {}, {{kTeam, 0, 0}});
   summary.OnMember(At(0), kOne, 1, {}, {{kTeam, 100, 0}});
   summary.OnMember(At(0), kTwo, 1, {}, {{kTeam, 50, 0}});
   CHECK(total() == 160);
@@ -43,5 +45,31 @@
   CHECK(total() == 195);
 }
 
+TEST_CASE("what a member charged before it was heard is not new") {
+  // A delegate that has just started hears members that are hours old.
+  DomainSummary summary;
+  const auto total = [&] {
+    return summary.Spending({{kTeam, 10, 0}})[0].spent;
+  };
+  summary.OnMember(At(0), kOne, 1, {}, {{kTeam, 9'000'000, 0}});
+  CHECK(total() == 10);
+  summary.OnMember(At(200), kOne, 1, {}, {{kTeam, 9'000'400, 0}});
+  CHECK(total() == 410);
+  // While it was out of reach, it spent its own part of the limit.
+  summary.OnMember(At(6'000), kOne, 1, {}, {{kTeam, 9'030'000, 0}});
+  CHECK(total() == 410);
+  summary.OnMember(At(6'200), kOne, 1, {}, {{kTeam, 9'030'100, 0}});
+  CHECK(total() == 510);
+}
+
+TEST_CASE("sums cover the members that were heard lately") {
+  DomainSummary summary;
+  CHECK(summary.Instances(At(0)) == 1);
+  summary.OnMember(At(0), kOne, 1, {}, {});
+  summary.OnMember(At(500), kTwo, 1, {}, {});
+  CHECK(summary.Instances(At(600)) == 3);
+  CHECK(summary.Instances(At(1'000)) == 2);
+}
+
 }  // namespace
 }  // namespace figwell::serving
