--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -121,8 +121,9 @@
                  incarnation_),
       configuration_follower_(
           context_, store_, std::string(adapter::kConfigurationPrefix),
-          {[this](const std::vector<store::KeyValue>& items) {
-             for (const store::KeyValue& item : items) {
+          state_.settings.store_history,
+          {[this](const adapter::Listing& listing) {
+             for (const store::KeyValue& item : listing.items) {
                OnConfigurationItem(item);
              }
            },
@@ -133,23 +134,10 @@
            },
            [this] { peers_.NoteStore(false); },
            [this](Duration) { peers_.NoteStore(true); }}),
-      servers_follower_(
-          context_, store_, std::string(adapter::kServersPrefix),
-          {[this](const std::vector<store::KeyValue>& items) {
-             OnServersListing(items);
-           },
-           [this](const store::WatchEvent& event) { OnServersEvent(event); },
-           [this] { state_.directory.StoreLost(); },
-           [this](Duration) {
-             state_.directory.StoreRegained(MonotonicNow());
-           }}),
-      own_follower_(
-          context_, store_, state_.settings.store_prefix,
-          {[this](const std::vector<store::KeyValue>& items) {
-             OnOwnListing(items);
-           },
-           [this](const store::WatchEvent& event) { OnOwnEvent(event); }, [] {},
-           [](Duration) {}}),
+      servers_view_(context_, store_, std::string(adapter::kServersPrefix),
+                    state_.settings.store_history, ServersCallbacks()),
+      instances_view_(context_, store_, state_.settings.store_prefix,
+                      state_.settings.store_history, InstancesCallbacks()),
       callers_(context_, LimitsFor({}),
                {[this](http::ExchangePtr exchange) {
                   OnCallerRequest(std::move(exchange));
@@ -176,7 +164,8 @@
       status_timer_(context_),
       demand_timer_(context_),
       settings_timer_(context_),
-      stop_timer_(context_) {
+      stop_timer_(context_),
+      duty_(settings.instance) {
   state_.report_soon = [this] { SendStatusSoon(); };
 }
 
@@ -212,8 +201,8 @@
                   {"store", state_.settings.store_address}});
   WaitForSignal();
   configuration_follower_.Start();
-  servers_follower_.Start();
-  own_follower_.Start();
+  servers_view_.Start();
+  instances_view_.Start();
   peers_.Start();
   placement_.Start();
   TickStatus();
@@ -236,8 +225,8 @@
 }
 
 bool Edge::Ready() const {
-  return !stopping_ && state_.catalog != nullptr &&
-         servers_follower_.listed() && own_follower_.listed();
+  return !stopping_ && state_.catalog != nullptr && servers_view_.listed() &&
+         instances_view_.listed();
 }
 
 void Edge::OnReadyRequest(const http::ExchangePtr& exchange) {
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -10,8 +10,8 @@
 #include "placement_host.h"
 #include "registrar.h"
 #include "request.h"
+#include "shared_view.h"
 #include "state.h"
-#include "store_follower.h"
 
 namespace figwell::edge {
 
@@ -41,30 +41,39 @@
   // edge_view.cc
   void OnConfigurationItem(const store::KeyValue& item);
   void TakeConfiguration(const std::string& document, std::string_view source);
-  void OnServersListing(const std::vector<store::KeyValue>& items);
-  void OnServersEvent(const store::WatchEvent& event);
+  SharedViewCallbacks ServersCallbacks();
+  SharedViewCallbacks InstancesCallbacks();
+  SharedView& ViewOf(ViewId view);
+  void Ask(const InstanceId& peer, ViewId view, store::Revision after);
+  void OnChangesWanted(const InstanceId& from,
+                       const ChangesWantedMessage& wanted);
+  /** Reads everything in the store again: peers have known more for long. */
+  void OnBehind(const SharedView& view);
+  void OnServerEntries(const std::vector<serving::LoggedEntry>& entries);
   void OnServerChange(const ServerId& id, serving::ServerChange change);
-  void OnOwnListing(const std::vector<store::KeyValue>& items);
-  void OnOwnEvent(const store::WatchEvent& event);
-  void NoteInstance(const std::string& key,
-                    const std::optional<std::string>& address);
+  void OnInstanceEntries(const std::vector<serving::LoggedEntry>& entries);
+  void NoteInstance(const serving::LoggedEntry& entry);
   void OnMessage(const InstanceId& from, MessageKind kind,
                  std::string_view bytes);
   void OnStatus(const InstanceId& from, const StatusMessage& status);
   void OnDomainStatus(const InstanceId& from,
                       const DomainStatusMessage& message);
-  std::map<ServerId, serving::PeerLoad> LoadsOf(
-      const StatusMessage& status) const;
+  /** The loads that a sender told of, with this part of its message. */
+  const std::map<ServerId, serving::PeerLoad>& TakeLoads(
+      const InstanceId& from, const StatusMessage& status);
   /** The name under which another domain's sums are kept. */
   static InstanceId StandInFor(const DomainId& domain);
-  /** Reads the registry again if a peer has known more for some time. */
-  void CompareRevision(const InstanceId& from, std::int64_t revision);
+  void CompareRevisions(const InstanceId& from, const StatusMessage& status);
+  /** Whether this instance or others follow the store for its domain. */
+  void DecideFollowing(TimePoint now);
   void TickStatus();
   void TickDemand();
   void NotePeers(TimePoint now);
-  StatusMessage MakeStatus(std::uint64_t incarnation,
-                           const std::map<ServerId, serving::PeerLoad>& loads,
-                           std::vector<serving::TeamSpending> spending) const;
+  /** In parts that fit into datagrams. */
+  std::vector<StatusMessage> MakeStatus(
+      std::uint64_t incarnation,
+      const std::map<ServerId, serving::PeerLoad>& loads,
+      const std::vector<serving::TeamSpending>& spending) const;
   void SendDomainStatus(TimePoint now,
                         const std::map<ServerId, serving::PeerLoad>& loads,
                         const std::vector<serving::TeamSpending>& spending);
@@ -83,8 +92,8 @@
   Registrar registrar_;
   PlacementHost placement_;
   StoreFollower configuration_follower_;
-  StoreFollower servers_follower_;
-  StoreFollower own_follower_;
+  SharedView servers_view_;
+  SharedView instances_view_;
   http::Server callers_;
   http::Server ready_;
   http::Server metrics_;
@@ -95,9 +104,10 @@
   boost::asio::steady_timer stop_timer_;
   serving::DomainSummary summary_;
   std::map<InstanceId, Registration> instances_;
-  std::optional<store::KeyValue> holder_;
   std::map<std::uint64_t, ServerId> server_of_hash_;
-  std::map<InstanceId, TimePoint> behind_since_;
+  std::map<InstanceId, std::map<ServerId, serving::PeerLoad>> told_loads_;
+  serving::FollowDuty duty_;
+  bool holder_told_ = false;
   TimePoint status_sent_;
   std::optional<TimePoint> stopping_;
   bool accepting_ = true;
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -13,11 +13,8 @@
 // Servers change in groups; at most this part of the time in which a server's
 // leaving has to be known.
 constexpr milliseconds kChangesPause{400};
-constexpr milliseconds kPausePerInstance{15};
+constexpr milliseconds kPausePerFollower{15};
 constexpr int kPausePartOfNotice = 2;
-// A peer that knows newer entries for so long shows that the watch here hears
-// nothing.
-constexpr Duration kBehindFor = milliseconds(2'000);
 // Fits into a datagram beside the spending of some teams.
 constexpr std::size_t kMostLoads = 44;
 constexpr std::size_t kMostTeams = 16;
@@ -78,32 +75,98 @@
 
 // ------------------------------------------------------------------ servers
 
-void Edge::OnServersListing(const std::vector<store::KeyValue>& items) {
-  std::vector<serving::BackendServer> servers;
-  for (const store::KeyValue& item : items) {
-    if (auto server = ReadServer(item)) {
-      servers.push_back(std::move(*server));
-    }
+SharedViewCallbacks Edge::ServersCallbacks() {
+  SharedViewCallbacks callbacks;
+  callbacks.encode =
+      [](const store::KeyValue& item) -> std::optional<std::string> {
+    const auto server = ReadServer(item);
+    return server ? std::optional(PackServer(*server)) : std::nullopt;
+  };
+  callbacks.on_changes =
+      [this](const std::vector<serving::LoggedEntry>& entries) {
+        OnServerEntries(entries);
+      };
+  callbacks.on_lost = [this] { state_.directory.StoreLost(); };
+  callbacks.on_regained = [this] {
+    state_.directory.StoreRegained(MonotonicNow());
+  };
+  callbacks.ask = [this](const InstanceId& peer, store::Revision after) {
+    Ask(peer, ViewId::kServers, after);
+  };
+  callbacks.on_behind = [this] { OnBehind(servers_view_); };
+  return callbacks;
+}
+
+SharedViewCallbacks Edge::InstancesCallbacks() {
+  SharedViewCallbacks callbacks;
+  callbacks.encode = [](const store::KeyValue& item) {
+    return std::optional(item.value);
+  };
+  callbacks.on_changes =
+      [this](const std::vector<serving::LoggedEntry>& entries) {
+        OnInstanceEntries(entries);
+      };
+  callbacks.on_lost = [] {};
+  callbacks.on_regained = [] {};
+  callbacks.ask = [this](const InstanceId& peer, store::Revision after) {
+    Ask(peer, ViewId::kInstances, after);
+  };
+  callbacks.on_behind = [this] { OnBehind(instances_view_); };
+  return callbacks;
+}
+
+SharedView& Edge::ViewOf(ViewId view) {
+  return view == ViewId::kServers ? servers_view_ : instances_view_;
+}
+
+void Edge::Ask(const InstanceId& peer, ViewId view, store::Revision after) {
+  peers_.Send(peer, MessageKind::kChangesWanted,
+              ChangesWantedMessage{view, after});
+}
+
+void Edge::OnChangesWanted(const InstanceId& from,
+                           const ChangesWantedMessage& wanted) {
+  for (serving::ChangeSet& set : ViewOf(wanted.view).Since(wanted.after)) {
+    peers_.Send(from, MessageKind::kChanges,
+                ChangesMessage{wanted.view, std::move(set)});
   }
-  for (const auto& [id, change] :
-       state_.directory.Replace(MonotonicNow(), servers)) {
-    OnServerChange(id, change);
+}
+
+void Edge::OnBehind(const SharedView& view) {
+  telemetry::Log(Event::kDependencyLost, "peers know newer entries",
+                 {{"dependency", "store"},
+                  {"follows", view.Follows() ? "true" : "false"},
+                  {"revision", std::to_string(view.newest())}});
+  if (view.Follows()) {
+    servers_view_.Refresh();
+    instances_view_.Refresh();
+    configuration_follower_.Refresh();
+    return;
   }
+  const TimePoint now = MonotonicNow();
+  duty_.OnBehind(now);
+  DecideFollowing(now);
 }
 
-void Edge::OnServersEvent(const store::WatchEvent& event) {
-  const ServerId id = adapter::ServerOfKey(event.entry.key);
+void Edge::OnServerEntries(const std::vector<serving::LoggedEntry>& entries) {
   const TimePoint now = MonotonicNow();
-  if (event.type == store::WatchEvent::Type::kDelete) {
-    OnServerChange(id, state_.directory.Remove(now, id));
-    return;
+  for (const serving::LoggedEntry& entry : entries) {
+    const ServerId id = adapter::ServerOfKey(entry.key);
+    if (entry.removed) {
+      OnServerChange(id, state_.directory.Remove(now, id));
+      continue;
+    }
+    if (const auto server = UnpackServer(entry.value)) {
+      OnServerChange(id, state_.directory.Put(*server));
+    } else {
+      telemetry::Log(Event::kEntryUnreadable, server.error().message,
+                     {{"server", id.value()}});
+      OnServerChange(id, state_.directory.Remove(now, id));
+    }
   }
-  const auto server = ReadServer(event.entry);
-  if (!server) {
-    OnServerChange(id, state_.directory.Remove(now, id));
-    return;
+  if (servers_view_.Follows() && !entries.empty()) {
+    SendStatusSoon();  // others may wait for it
   }
-  OnServerChange(id, state_.directory.Put(*server));
 }
 
 void Edge::OnServerChange(const ServerId& id, serving::ServerChange change) {
@@ -125,48 +188,43 @@
         {{"server", id.value()},
          {"service", server == nullptr ? "" : server->service.value()},
          {"address", server == nullptr ? "" : server->address},
-         {"revision", std::to_string(servers_follower_.newest())}});
+         {"revision", std::to_string(servers_view_.newest())}});
   }
 }
 
 // ------------------------------------------------------- own keys and peers
 
-void Edge::OnOwnListing(const std::vector<store::KeyValue>& items) {
-  instances_.clear();
-  holder_.reset();
-  for (const store::KeyValue& item : items) {
-    if (item.key == placement_.HolderKey()) {
-      holder_ = item;
+void Edge::OnInstanceEntries(const std::vector<serving::LoggedEntry>& entries) {
+  std::optional<store::KeyValue> holder;
+  bool changed = !holder_told_;  // nobody holds a key that is not listed
+  for (const serving::LoggedEntry& entry : entries) {
+    if (entry.key == placement_.HolderKey()) {
+      changed = true;
+      holder.reset();
+      if (!entry.removed) {
+        holder = {entry.key, entry.value, 0, entry.revision, 0};
+      }
     }
-    NoteInstance(item.key, item.value);
+    NoteInstance(entry);
   }
-  placement_.OnHolder(holder_);
-  peers_.SetRegistered(instances_);
-  NotePeers(MonotonicNow());
-}
-
-void Edge::OnOwnEvent(const store::WatchEvent& event) {
-  const bool present = event.type == store::WatchEvent::Type::kPut;
-  if (event.entry.key == placement_.HolderKey()) {
-    holder_ = present ? std::optional(event.entry) : std::nullopt;
-    placement_.OnHolder(holder_);
+  if (changed) {
+    holder_told_ = true;
+    placement_.OnHolder(holder);
   }
-  NoteInstance(event.entry.key,
-               present ? std::optional(event.entry.value) : std::nullopt);
   peers_.SetRegistered(instances_);
+  NotePeers(MonotonicNow());
 }
 
-void Edge::NoteInstance(const std::string& key,
-                        const std::optional<std::string>& address) {
+void Edge::NoteInstance(const serving::LoggedEntry& entry) {
   const std::string prefix = registrar_.InstancesPrefix();
-  if (!key.starts_with(prefix)) {
+  if (!entry.key.starts_with(prefix)) {
     return;
   }
-  const InstanceId id(key.substr(prefix.size()));
-  if (address) {
-    instances_[id] = Registration::FromText(*address);
-  } else {
+  const InstanceId id(entry.key.substr(prefix.size()));
+  if (entry.removed) {
     instances_.erase(id);
+  } else {
+    instances_[id] = Registration::FromText(entry.value);
   }
 }
 
@@ -195,6 +253,16 @@
                                     placed->present);
       }
       return;
+    case MessageKind::kChangesWanted:
+      if (const auto wanted = peers::Unpack<ChangesWantedMessage>(bytes)) {
+        OnChangesWanted(from, *wanted);
+      }
+      return;
+    case MessageKind::kChanges:
+      if (const auto changes = peers::Unpack<ChangesMessage>(bytes)) {
+        ViewOf(changes->view).OnChanges(changes->changes);
+      }
+      return;
     case MessageKind::kAdapterWanted:
       if (const auto wanted = peers::Unpack<AdapterWantedMessage>(bytes)) {
         placement_.OnAdapterWanted(*wanted);
@@ -203,15 +271,16 @@
   }
 }
 
-std::map<ServerId, serving::PeerLoad> Edge::LoadsOf(
-    const StatusMessage& status) const {
-  std::map<ServerId, serving::PeerLoad> loads;
+const std::map<ServerId, serving::PeerLoad>& Edge::TakeLoads(
+    const InstanceId& from, const StatusMessage& status) {
+  auto& loads = told_loads_[from];
+  if (status.first) {
+    loads.clear();
+  }
   for (const ServerLoadItem& item : status.loads) {
     const auto server = server_of_hash_.find(item.server);
     if (server != server_of_hash_.end()) {
-      loads.emplace(
-          server->second,
-          serving::PeerLoad{item.in_flight, milliseconds(item.unread_ms)});
+      loads[server->second] = {item.in_flight, milliseconds(item.unread_ms)};
     }
   }
   return loads;
@@ -219,11 +288,12 @@
 
 void Edge::OnStatus(const InstanceId& from, const StatusMessage& status) {
   const TimePoint now = MonotonicNow();
-  const auto loads = LoadsOf(status);
+  const auto& loads = TakeLoads(from, status);
   state_.balancer.OnPeerLoads(now, from, loads);
   state_.allowances.OnPeer(now, from, {status.incarnation, 1, status.spending});
   summary_.OnMember(now, from, status.incarnation, loads, status.spending);
-  CompareRevision(from, status.servers_revision);
+  duty_.OnMember(now, from, status.follows);
+  CompareRevisions(from, status);
 }
 
 void Edge::OnDomainStatus(const InstanceId& from,
@@ -233,11 +303,11 @@
   }
   const TimePoint now = MonotonicNow();
   const InstanceId standin = StandInFor(DomainId(message.domain));
-  state_.balancer.OnPeerLoads(now, standin, LoadsOf(message.sums));
+  state_.balancer.OnPeerLoads(now, standin, TakeLoads(standin, message.sums));
   state_.allowances.OnPeer(
       now, standin,
       {message.sums.incarnation, message.instances, message.sums.spending});
-  CompareRevision(standin, message.sums.servers_revision);
+  CompareRevisions(from, message.sums);
   const auto reachable = peers_.Reachable();
   const auto sender = reachable.find(from);
   if (sender != reachable.end() &&
@@ -251,47 +321,46 @@
   return InstanceId("domain " + domain.value());
 }
 
-void Edge::CompareRevision(const InstanceId& from, std::int64_t revision) {
+void Edge::CompareRevisions(const InstanceId& from,
+                            const StatusMessage& status) {
   const TimePoint now = MonotonicNow();
-  if (revision <= servers_follower_.newest()) {
-    behind_since_.erase(from);
-    return;
-  }
-  const TimePoint since = behind_since_.try_emplace(from, now).first->second;
-  if (now - since >= kBehindFor && !servers_follower_.away()) {
-    behind_since_.clear();
-    telemetry::Log(Event::kDependencyLost,
-                   "a peer knows newer entries; reading them again",
-                   {{"dependency", "store"},
-                    {"peer", from.value()},
-                    {"revision", std::to_string(servers_follower_.newest())},
-                    {"peer_revision", std::to_string(revision)}});
-    servers_follower_.Refresh();
-    own_follower_.Refresh();
-    configuration_follower_.Refresh();
-  }
+  servers_view_.OnPeer(now, from, status.servers_revision);
+  instances_view_.OnPeer(now, from, status.instances_revision);
+}
+
+void Edge::DecideFollowing(TimePoint now) {
+  const bool follow = duty_.ShouldFollow(now, peers_.LiveInOwnDomain());
+  servers_view_.SetFollowing(follow);
+  instances_view_.SetFollowing(follow);
 }
 
-StatusMessage Edge::MakeStatus(
+std::vector<StatusMessage> Edge::MakeStatus(
     std::uint64_t incarnation,
     const std::map<ServerId, serving::PeerLoad>& loads,
-    std::vector<serving::TeamSpending> spending) const {
-  StatusMessage status;
-  status.incarnation = incarnation;
-  status.servers_revision = servers_follower_.newest();
+    const std::vector<serving::TeamSpending>& spending) const {
+  StatusMessage frame;
+  frame.incarnation = incarnation;
+  frame.follows = servers_view_.Follows() && instances_view_.Follows();
+  frame.servers_revision = servers_view_.newest();
+  frame.instances_revision = instances_view_.newest();
+  std::vector<StatusMessage> parts(1, frame);
+  frame.first = false;
   for (const auto& [server, load] : loads) {
-    if (status.loads.size() == kMostLoads) {
-      break;
+    if (parts.back().loads.size() == kMostLoads) {
+      parts.push_back(frame);
     }
-    status.loads.push_back(
+    parts.back().loads.push_back(
         {StableHash(server.value()), Clamp<std::uint16_t>(load.in_flight),
          Clamp<std::uint16_t>(load.unread / milliseconds(1))});
   }
-  if (spending.size() > kMostTeams) {
-    spending.resize(kMostTeams);
+  std::size_t part = 0;
+  for (const serving::TeamSpending& team : spending) {
+    if (parts[part].spending.size() == kMostTeams && ++part == parts.size()) {
+      parts.push_back(frame);
+    }
+    parts[part].spending.push_back(team);
   }
-  status.spending = std::move(spending);
-  return status;
+  return parts;
 }
 
 void Edge::TickStatus() {
@@ -299,8 +368,9 @@
   for (const ServerId& gone : state_.directory.Expire(now)) {
     OnServerChange(gone, serving::ServerChange::kGone);
   }
-  if (own_follower_.listed()) {
+  if (instances_view_.listed()) {
     NotePeers(now);
+    DecideFollowing(now);
   }
   SendStatus(now);
 }
@@ -308,7 +378,9 @@
 void Edge::NotePeers(TimePoint now) {
   const auto serving = peers_.PossiblyServing(now);
   std::map<InstanceId, int> standins;
+  std::map<DomainId, std::size_t> sizes{{state_.settings.failure_domain, 1}};
   for (const auto& [instance, domain] : serving) {
+    ++sizes[domain];
     if (domain == state_.settings.failure_domain) {
       standins[instance] = 1;
     } else {
@@ -316,16 +388,19 @@
     }
   }
   state_.allowances.SetPeers(now, standins);
-  const std::size_t fleet = serving.size() + 1;
-  state_.retries.SetInstances(fleet);
-  // Each change wakes all instances, so that calls grow with the square of the
-  // fleet unless each waits longer in a larger one.
+  state_.retries.SetInstances(serving.size() + 1);
+  std::size_t followers = 0;
+  for (const auto& [domain, size] : sizes) {
+    followers += serving::FollowDuty::Followers(size);
+  }
+  // Each change wakes all that follow the store, so that calls grow with the
+  // square of their number unless each waits longer.
   const milliseconds pause = std::min<milliseconds>(
       state_.settings.bounds.drain_notice / kPausePartOfNotice,
-      kChangesPause + kPausePerInstance * static_cast<std::int64_t>(fleet));
-  servers_follower_.SetPause(pause);
-  own_follower_.SetPause(pause);
-  placement_.SetFleetSize(fleet);
+      kChangesPause + kPausePerFollower * static_cast<std::int64_t>(followers));
+  servers_view_.SetPause(pause);
+  instances_view_.SetPause(pause);
+  placement_.SetCandidates(followers, servers_view_.following());
 }
 
 void Edge::SendStatusSoon() {
@@ -339,8 +414,9 @@
   status_sent_ = now;
   const auto loads = state_.balancer.OwnLoads();
   const auto spending = state_.allowances.Own(now);
-  peers_.SendToOwnDomain(MessageKind::kStatus,
-                         MakeStatus(incarnation_, loads, spending));
+  for (const StatusMessage& part : MakeStatus(incarnation_, loads, spending)) {
+    peers_.SendToOwnDomain(MessageKind::kStatus, part);
+  }
   SendDomainStatus(now, loads, spending);
   status_timer_.expires_after(kStatusInterval);
   status_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -358,13 +434,16 @@
   if (delegates.at(own) != state_.settings.instance) {
     return;
   }
-  const DomainStatusMessage message{
-      own.value(), Clamp<std::uint16_t>(summary_.Instances(now)),
-      MakeStatus(StableHash(state_.settings.instance.value(), incarnation_),
-                 summary_.Loads(now, loads), summary_.Spending(spending))};
-  for (const auto& [domain, delegate] : delegates) {
-    if (domain != own) {
-      peers_.Send(delegate, MessageKind::kDomainStatus, message);
+  const auto instances = Clamp<std::uint16_t>(summary_.Instances(now));
+  const std::uint64_t speaker =
+      StableHash(state_.settings.instance.value(), incarnation_);
+  for (StatusMessage& part : MakeStatus(speaker, summary_.Loads(now, loads),
+                                        summary_.Spending(spending))) {
+    const DomainStatusMessage message{own.value(), instances, std::move(part)};
+    for (const auto& [domain, delegate] : delegates) {
+      if (domain != own) {
+        peers_.Send(delegate, MessageKind::kDomainStatus, message);
+      }
     }
   }
 }
--- a/apps/edge/messages.cc
+++ b/apps/edge/messages.cc
@@ -6,8 +6,74 @@
 // Fits into peers::kMaxApplicationBytes with names of 24 bytes.
 constexpr std::size_t kItemsInMessage = 24;
 
+struct HeldModel {
+  ModelId model;
+  std::vector<std::string> adapters;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(model, adapters);
+  }
+};
+
+struct ServerRecord {
+  ServerId id;
+  ServiceId service;
+  std::string address;
+  DomainId domain;
+  std::int32_t slots = 1;
+  bool draining = false;
+  bool has_remaining = false;
+  std::int64_t remaining_us = 0;
+  std::int64_t started_ms = 0;
+  std::vector<HeldModel> models;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, service, address, domain, slots, draining, has_remaining,
+            remaining_us, started_ms, models);
+  }
+};
+
 }  // namespace
 
+std::string PackServer(const serving::BackendServer& server) {
+  ServerRecord record;
+  record.id = server.id;
+  record.service = server.service;
+  record.address = server.address;
+  record.domain = server.domain;
+  record.slots = server.slots;
+  record.draining = server.draining;
+  record.has_remaining = server.remaining.has_value();
+  record.remaining_us = server.remaining.value_or(Duration{0}).count();
+  record.started_ms = server.started_ms;
+  for (const auto& [model, adapters] : server.models) {
+    record.models.push_back({model, {adapters.begin(), adapters.end()}});
+  }
+  return peers::Pack(record);
+}
+
+Result<serving::BackendServer> UnpackServer(std::string_view bytes) {
+  return peers::Unpack<ServerRecord>(bytes).map([](ServerRecord record) {
+    serving::BackendServer server;
+    server.id = std::move(record.id);
+    server.service = std::move(record.service);
+    server.address = std::move(record.address);
+    server.domain = std::move(record.domain);
+    server.slots = record.slots;
+    server.draining = record.draining;
+    if (record.has_remaining) {
+      server.remaining = Duration(record.remaining_us);
+    }
+    server.started_ms = record.started_ms;
+    for (const HeldModel& held : record.models) {
+      server.models[held.model] = {held.adapters.begin(), held.adapters.end()};
+    }
+    return server;
+  });
+}
+
 std::vector<DemandMessage> ToMessages(const serving::Demand& demand) {
   std::vector<DemandMessage> messages(1);
   const auto add = [&](DemandItem item) {
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -18,6 +18,8 @@
   kPlacement = 3,
   kAdapterWanted = 4,
   kDomainStatus = 5,
+  kChangesWanted = 6,
+  kChanges = 7,
 };
 
 /** What a sender has under way at one server. */
@@ -35,11 +37,16 @@
   }
 };
 
-/** Goes to every peer of the own domain some times a second. */
+/** Goes to every peer of the own domain some times a second, in parts. */
 struct StatusMessage {
   std::uint64_t incarnation = 0;
-  /** The newest change of the registry that the sender has seen. */
+  /** The first part replaces the loads that the sender told before. */
+  bool first = true;
+  /** Whether the sender follows the store, and reaches it. */
+  bool follows = false;
+  /** The newest changes that the sender knows, of servers and instances. */
   std::int64_t servers_revision = 0;
+  std::int64_t instances_revision = 0;
   std::vector<ServerLoadItem> loads;
   std::vector<serving::TeamSpending> spending;
 
@@ -47,7 +54,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(incarnation, servers_revision, loads, spending);
+    archive(incarnation, first, follows, servers_revision, instances_revision,
+            loads, spending);
   }
 };
 
@@ -96,6 +104,40 @@
   }
 };
 
+/** What the store's changes are about. */
+enum class ViewId : std::uint8_t { kServers = 0, kInstances = 1 };
+
+/** Asks a peer for what changed after a revision. */
+struct ChangesWantedMessage {
+  ViewId view = ViewId::kServers;
+  store::Revision after = 0;
+
+  friend bool operator==(const ChangesWantedMessage&,
+                         const ChangesWantedMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(view, after);
+  }
+};
+
+struct ChangesMessage {
+  ViewId view = ViewId::kServers;
+  serving::ChangeSet changes;
+
+  friend bool operator==(const ChangesMessage&,
+                         const ChangesMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(view, changes);
+  }
+};
+
+/** A backend server as instances tell each other of it. */
+std::string PackServer(const serving::BackendServer& server);
+Result<serving::BackendServer> UnpackServer(std::string_view bytes);
+
 /** Packs rates into messages that fit into datagrams. */
 std::vector<DemandMessage> ToMessages(const serving::Demand& demand);
 /** Takes up a message of a series. */
--- a/apps/edge/peer_group.cc
+++ b/apps/edge/peer_group.cc
@@ -1,7 +1,5 @@
 #include "peer_group.h"
 
-#include <set>
-
 namespace figwell::edge {
 namespace {
 
@@ -175,6 +173,20 @@
   return reachable;
 }
 
+std::set<InstanceId> PeerGroup::LiveInOwnDomain() const {
+  std::set<InstanceId> live;
+  if (!node_) {
+    return live;
+  }
+  for (const peers::Member& member : node_->Members()) {
+    if (member.record.state == peers::MemberState::kAlive &&
+        member.record.domain == settings_.failure_domain) {
+      live.insert(member.record.instance);
+    }
+  }
+  return live;
+}
+
 std::map<DomainId, InstanceId> PeerGroup::Delegates() const {
   std::map<DomainId, InstanceId> delegates;
   delegates.emplace(settings_.failure_domain, settings_.instance);
--- a/apps/edge/peer_group.h
+++ b/apps/edge/peer_group.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,8 @@
 
   /** Peers that have not left or been given up, with their domains. */
   std::map<InstanceId, DomainId> Reachable() const;
+  /** Those of the own domain that are not under suspicion, but for this one. */
+  std::set<InstanceId> LiveInOwnDomain() const;
   /**
    * The one instance of each domain that speaks for it, by name the first of
    * those not under suspicion; the own domain's may be this one.
--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -12,8 +12,9 @@
 
 constexpr milliseconds kTick{40};
 // Instances try for a free key at different moments, so that most see that
-// someone else has it.
+// someone else has it; those that hear of it late leave it to the others first.
 constexpr Duration kTakeoverDelayPerInstance = milliseconds(10);
+constexpr Duration kSecondChoiceDelay = milliseconds(1'000);
 constexpr Duration kLongestTakeoverDelay = milliseconds(500);
 constexpr milliseconds kReportTimeout{600};
 // Copies are added for demand at most this often.
@@ -119,12 +120,14 @@
               });
 }
 
-void PlacementHost::SetFleetSize(std::size_t instances) {
+void PlacementHost::SetCandidates(std::size_t instances, bool first_choice) {
   const auto longest = std::min<std::int64_t>(
       kLongestTakeoverDelay.count(),
       kTakeoverDelayPerInstance.count() * static_cast<std::int64_t>(instances));
-  lease_.SetTakeoverDelay(Duration(static_cast<std::int64_t>(
-      state_.random.Below(static_cast<std::uint64_t>(longest)))));
+  const Duration jitter(static_cast<std::int64_t>(
+      state_.random.Below(static_cast<std::uint64_t>(longest))));
+  lease_.SetTakeoverDelay(jitter +
+                          (first_choice ? Duration{0} : kSecondChoiceDelay));
 }
 
 void PlacementHost::OnHolder(const std::optional<store::KeyValue>& holder) {
--- a/apps/edge/placement_host.h
+++ b/apps/edge/placement_host.h
@@ -36,7 +36,7 @@
   void AskForAdapter(const serving::ModelTarget& target);
   /** Ends the lease: another process may lead at once. */
   void Resign();
-  void SetFleetSize(std::size_t instances);
+  void SetCandidates(std::size_t instances, bool first_choice);
 
   std::string HolderKey() const;
   /** The instance that has the key, as the watch says. */
--- /dev/null
+++ b/apps/edge/shared_view.cc
@@ -0,0 +1,111 @@
+#include "shared_view.h"
+
+namespace figwell::edge {
+namespace {
+
+using std::chrono::milliseconds;
+
+// What fits into a datagram of peers::kMaxApplicationBytes with its frame.
+constexpr std::size_t kBytesInMessage = 850;
+// A lost question or answer is repeated after this.
+constexpr Duration kAskInterval = milliseconds(60);
+// Beyond the pause between watches, a peer's word is newer than the store's.
+constexpr Duration kAskAfter = milliseconds(300);
+// Peers that know more for so long show that nothing is heard here. Whoever
+// relies on peers has to notice within the notice of a leaving server.
+constexpr Duration kBehindFor = milliseconds(2'000);
+constexpr Duration kRelyingBehindFor = milliseconds(600);
+
+}  // namespace
+
+SharedView::SharedView(boost::asio::io_context& context,
+                       adapter::StoreClient& store, std::string prefix,
+                       milliseconds history, SharedViewCallbacks callbacks)
+    : callbacks_(std::move(callbacks)),
+      follower_(
+          context, store, std::move(prefix), history,
+          {[this](const adapter::Listing& listing) { OnListing(listing); },
+           [this](const store::WatchEvent& event) { OnEvent(event); },
+           [this] { callbacks_.on_lost(); },
+           [this](Duration) { callbacks_.on_regained(); }}) {}
+
+void SharedView::SetPause(milliseconds pause) {
+  pause_ = pause;
+  follower_.SetPause(pause);
+}
+
+void SharedView::SetFollowing(bool following) {
+  if (following == follower_.following()) {
+    return;
+  }
+  if (following) {
+    follower_.Resume(log_.newest());
+  } else if (follower_.answering()) {
+    follower_.Stop();
+  }
+}
+
+serving::LoggedEntry SharedView::ToEntry(const store::KeyValue& item) const {
+  auto value = callbacks_.encode(item);
+  const bool usable = value.has_value();
+  return {item.key, usable ? std::move(*value) : std::string(),
+          item.mod_revision, !usable};
+}
+
+void SharedView::OnListing(const adapter::Listing& listing) {
+  std::vector<serving::LoggedEntry> entries;
+  for (const store::KeyValue& item : listing.items) {
+    entries.push_back(ToEntry(item));
+  }
+  callbacks_.on_changes(log_.Replace(entries, listing.revision));
+}
+
+void SharedView::OnEvent(const store::WatchEvent& event) {
+  const bool removed = event.type == store::WatchEvent::Type::kDelete;
+  const serving::LoggedEntry entry =
+      removed ? serving::LoggedEntry{event.entry.key, {},
+                                     event.entry.mod_revision, true}
+              : ToEntry(event.entry);
+  if (log_.Note(entry)) {
+    callbacks_.on_changes({entry});
+  }
+}
+
+void SharedView::OnPeer(TimePoint now, const InstanceId& peer,
+                        store::Revision newest) {
+  highest_heard_ = std::max(highest_heard_, newest);
+  if (highest_heard_ <= log_.newest()) {
+    behind_since_.reset();
+    return;
+  }
+  if (!behind_since_) {
+    behind_since_ = now;
+  }
+  const Duration behind = now - *behind_since_;
+  const bool relies = !Follows();
+  if (newest > log_.newest() && now - asked_ >= kAskInterval &&
+      (relies || behind >= pause_ + kAskAfter)) {
+    asked_ = now;
+    callbacks_.ask(peer, log_.newest());
+  }
+  if (behind >= (relies ? kRelyingBehindFor : pause_ + kBehindFor)) {
+    behind_since_ = now;
+    callbacks_.on_behind();
+  }
+}
+
+void SharedView::OnChanges(const serving::ChangeSet& set) {
+  const auto news = log_.Take(set);
+  if (!news.empty()) {
+    callbacks_.on_changes(news);
+  }
+  if (highest_heard_ <= log_.newest()) {
+    behind_since_.reset();
+  }
+}
+
+std::vector<serving::ChangeSet> SharedView::Since(store::Revision after) const {
+  return log_.Since(after, kBytesInMessage);
+}
+
+}  // namespace figwell::edge
--- a/apps/edge/store_follower.cc
+++ b/apps/edge/store_follower.cc
@@ -8,9 +8,11 @@
 using std::chrono::milliseconds;
 using telemetry::Event;
 
-// How long one watch waits: near the longest that the store takes. What a peer
-// knows shows sooner if the connection has gone silent.
-constexpr milliseconds kWatchWait{25'000};
+// How long one watch waits at most: near the longest that the store takes. What
+// a peer knows shows sooner if the connection has gone silent.
+constexpr milliseconds kLongestWait{25'000};
+// A watch that waits for longer than the store keeps history loses its place.
+constexpr int kWaitTenthsOfHistory = 8;
 constexpr Duration kFirstRetry = milliseconds(100);
 constexpr Duration kLongestRetry = milliseconds(1'000);
 constexpr int kMostDoublings = 4;
@@ -19,21 +21,44 @@
 
 StoreFollower::StoreFollower(boost::asio::io_context& context,
                              adapter::StoreClient& store, std::string prefix,
-                             FollowerCallbacks callbacks)
+                             milliseconds history, FollowerCallbacks callbacks)
     : timer_(context),
       store_(store),
       prefix_(std::move(prefix)),
+      wait_(std::min(kLongestWait, history * kWaitTenthsOfHistory / 10)),
       callbacks_(std::move(callbacks)),
       random_(StableHash(RandomHex(8))) {}
 
-void StoreFollower::Start() { List(); }
+void StoreFollower::Start() {
+  following_ = true;
+  List();
+}
 
 void StoreFollower::Refresh() {
+  following_ = true;
   ++round_;
   timer_.cancel();
   List();
 }
 
+void StoreFollower::Stop() {
+  following_ = false;
+  ++round_;
+  timer_.cancel();
+}
+
+void StoreFollower::Resume(store::Revision known) {
+  following_ = true;
+  ++round_;
+  timer_.cancel();
+  after_ = std::max(after_, known);
+  if (listed_) {
+    Watch();
+  } else {
+    List();
+  }
+}
+
 void StoreFollower::List() {
   store_.List(prefix_,
               [this, round = round_](const Result<adapter::Listing>& listing) {
@@ -47,16 +72,13 @@
                 OnAnswer();
                 listed_ = true;
                 after_ = std::max(after_, listing->revision);
-                for (const store::KeyValue& item : listing->items) {
-                  newest_ = std::max(newest_, item.mod_revision);
-                }
-                callbacks_.on_listing(listing->items);
+                callbacks_.on_listing(*listing);
                 Watch();
               });
 }
 
 void StoreFollower::Watch() {
-  store_.Watch(prefix_, after_, kWatchWait,
+  store_.Watch(prefix_, after_, wait_,
                [this, round = round_](const Result<store::WatchBatch>& batch) {
                  if (round == round_) {
                    OnWatched(batch);
@@ -84,7 +106,6 @@
   after_ = std::max(after_, batch->revision);
   const std::uint64_t round = round_;
   for (const store::WatchEvent& event : batch->events) {
-    newest_ = std::max(newest_, event.entry.mod_revision);
     callbacks_.on_event(event);
   }
   if (round != round_) {
--- a/apps/edge/store_follower.h
+++ b/apps/edge/store_follower.h
@@ -12,8 +12,8 @@
 
 /** What a follower tells of the keys below its prefix. */
 struct FollowerCallbacks {
-  /** All items, after a start or a gap. */
-  std::function<void(const std::vector<store::KeyValue>&)> on_listing;
+  /** All items as of a revision, after a start or a gap. */
+  std::function<void(const adapter::Listing&)> on_listing;
   std::function<void(const store::WatchEvent&)> on_event;
   /** The store has not answered for kAwayAfter, or answers again. */
   std::function<void()> on_lost;
@@ -31,7 +31,8 @@
   static constexpr Duration kAwayAfter = std::chrono::milliseconds(1'000);
 
   StoreFollower(boost::asio::io_context& context, adapter::StoreClient& store,
-                std::string prefix, FollowerCallbacks callbacks);
+                std::string prefix, std::chrono::milliseconds history,
+                FollowerCallbacks callbacks);
 
   void Start();
   /**
@@ -41,11 +42,16 @@
   void SetPause(std::chrono::milliseconds pause) { pause_ = pause; }
   /** Reads all items again now, besides any call that is under way. */
   void Refresh();
+  /** Waits for no more changes; a call that is under way is given up. */
+  void Stop();
+  /** Goes on after a stop; everything up to `known` was learned elsewhere. */
+  void Resume(store::Revision known);
 
+  bool following() const { return following_; }
+  /** Whether the last call was answered. */
+  bool answering() const { return listed_ && failures_ == 0; }
   bool listed() const { return listed_; }
   bool away() const { return away_; }
-  /** The revision of the newest change seen below the prefix. */
-  store::Revision newest() const { return newest_; }
 
  private:
   void List();
@@ -58,17 +64,18 @@
   boost::asio::steady_timer timer_;
   adapter::StoreClient& store_;
   std::string prefix_;
+  std::chrono::milliseconds wait_;
   std::chrono::milliseconds pause_{0};
   FollowerCallbacks callbacks_;
   Random random_;
   /** Answers to calls of an earlier round are ignored. */
   std::uint64_t round_ = 0;
+  bool following_ = false;
   bool listed_ = false;
   bool away_ = false;
   int failures_ = 0;
   TimePoint failing_since_;
   store::Revision after_ = 0;
-  store::Revision newest_ = 0;
 };
 
 }  // namespace figwell::edge
--- a/libs/config/include/figwell/config/edge_settings.h
+++ b/libs/config/include/figwell/config/edge_settings.h
@@ -43,6 +43,8 @@
   std::string store_address;
   /** Every key that this system writes to the store starts with it. */
   std::string store_prefix = "figwell/";
+  /** How long the store keeps changes for those who watch. */
+  std::chrono::seconds store_history{20};
   EdgeBounds bounds;
   /** Log lines a second on average; 0: no bound. */
   double log_lines_per_second = 300;
--- a/libs/config/src/edge_settings.cc
+++ b/libs/config/src/edge_settings.cc
@@ -72,6 +72,7 @@
   MappingReader store = reader.Mapping("store");
   settings.store_address = ReadAddress(store, "address");
   settings.store_prefix = store.Text("prefix", settings.store_prefix);
+  settings.store_history = ReadTime(store, "history_s", settings.store_history);
   store.ReportUnknownFields();
   settings.bounds = ReadBounds(reader.Mapping("bounds"));
   settings.log_lines_per_second =
--- a/libs/config/tests/edge_settings_test.cc
+++ b/libs/config/tests/edge_settings_test.cc
@@ -15,6 +15,7 @@
   peers: "10.1.0.25:7600"
 store:
   address: "10.200.1.7:8225"
+  history_s: 30
 bounds:
   order_separation_ms: 3500
   retry_ratio: 0.25
@@ -31,6 +32,7 @@
   CHECK(settings->bounds.drain_notice == std::chrono::milliseconds(3'000));
   CHECK(settings->bounds.stop_grace == EdgeBounds().stop_grace);
   CHECK(settings->store_prefix == "figwell/");
+  CHECK(settings->store_history == std::chrono::seconds(30));
 }
 
 TEST_CASE("every fault of an edge's settings is reported with its place") {
--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -7,6 +7,8 @@
  *
  *   catalog.h      Catalog: routes, services, models, teams of one version
  *   directory.h    Directory: the backend servers that registered themselves
+ *   change_log.h   ChangeLog: what instances pass on of the store's changes
+ *   follow_duty.h  FollowDuty: which instances follow the store themselves
  *   affinity.h     PromptIndex: which prompt prefixes a server has cached
  *   balancer.h     Balancer: chooses the server for a request
  *   admission.h    whether a request can still be on time, and Retry-After
@@ -25,9 +27,11 @@
 #include "figwell/serving/attempts.h"
 #include "figwell/serving/balancer.h"
 #include "figwell/serving/catalog.h"
+#include "figwell/serving/change_log.h"
 #include "figwell/serving/copies.h"
 #include "figwell/serving/demand.h"
 #include "figwell/serving/directory.h"
+#include "figwell/serving/follow_duty.h"
 #include "figwell/serving/leadership.h"
 #include "figwell/serving/orders.h"
 #include "figwell/serving/summary.h"
--- a/libs/serving/include/figwell/serving/directory.h
+++ b/libs/serving/include/figwell/serving/directory.h
@@ -65,7 +65,8 @@
 /**
  * The registry as last read. A server that is removed counts as gone at once,
  * except while the store has only just come back: entries that lapsed during
- * its outage get kLapseGrace to return.
+ * its outage get kLapseGrace to return. So do removals that peers tell of while
+ * the store is away for this instance: it may have come back for them.
  */
 class Directory {
  public:
@@ -79,10 +80,6 @@
   ServerChange Put(const BackendServer& server);
   /** An entry was removed, or its content became unreadable. */
   ServerChange Remove(TimePoint now, const ServerId& id);
-  /** All entries, as read in one pass; what is not among them was removed. */
-  std::vector<std::pair<ServerId, ServerChange>> Replace(
-      TimePoint now, const std::vector<BackendServer>& servers);
-
   /** The store stopped answering, or answers again. */
   void StoreLost() { store_away_ = true; }
   void StoreRegained(TimePoint now);
--- a/libs/serving/src/directory.cc
+++ b/libs/serving/src/directory.cc
@@ -51,7 +51,7 @@
 
 std::optional<TimePoint> Directory::GraceEnd(TimePoint now) const {
   if (store_away_) {
-    return TimePoint::max();  // set once the store is back
+    return now + kLapseGrace;
   }
   if (!regained_at_ || now >= *regained_at_ + kLapseGrace) {
     return std::nullopt;
@@ -76,44 +76,15 @@
   return ServerChange::kGone;
 }
 
-std::vector<std::pair<ServerId, ServerChange>> Directory::Replace(
-    TimePoint now, const std::vector<BackendServer>& servers) {
-  std::vector<std::pair<ServerId, ServerChange>> changes;
-  std::set<ServerId> present;
-  for (const BackendServer& server : servers) {
-    present.insert(server.id);
-    changes.emplace_back(server.id, Put(server));
-  }
-  std::vector<ServerId> missing;
-  for (const auto& [id, entry] : entries_) {
-    if (!present.contains(id)) {
-      missing.push_back(id);
-    }
-  }
-  for (const ServerId& id : missing) {
-    changes.emplace_back(id, Remove(now, id));
-  }
-  return changes;
-}
-
 void Directory::StoreRegained(TimePoint now) {
-  if (!store_away_) {
-    return;
+  if (store_away_) {
+    regained_at_ = now;
   }
   store_away_ = false;
-  regained_at_ = now;
-  for (auto& [id, entry] : entries_) {
-    if (entry.gone_at) {
-      entry.gone_at = now + kLapseGrace;
-    }
-  }
 }
 
 std::vector<ServerId> Directory::Expire(TimePoint now) {
   std::vector<ServerId> gone;
-  if (store_away_) {
-    return gone;
-  }
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     if (entry->second.gone_at && *entry->second.gone_at <= now) {
       gone.push_back(entry->first);
--- /dev/null
+++ b/libs/serving/src/follow_duty.cc
@@ -0,0 +1,58 @@
+#include "figwell/serving/follow_duty.h"
+
+#include <algorithm>
+
+namespace figwell::serving {
+namespace {
+
+// Followers in a domain: one may be cut off from the store and not know it.
+constexpr std::size_t kFollowers = 2;
+// In a domain of so many instances, others would hardly save a call.
+constexpr std::size_t kSmallDomain = 4;
+// Whoever follows the store goes on until another has done so for so long.
+constexpr Duration kHandOver = std::chrono::milliseconds(1'500);
+// Whoever was left behind follows the store for so long.
+constexpr Duration kDistrust = std::chrono::seconds(8);
+
+}  // namespace
+
+void FollowDuty::OnMember(TimePoint now, const InstanceId& id, bool follows) {
+  Member& member = heard_[id];
+  const bool went_on =
+      member.follows_since && member.heard + kFollowerSilence >= now;
+  member.heard = now;
+  if (!follows) {
+    member.follows_since.reset();
+  } else if (!went_on) {
+    member.follows_since = now;
+  }
+}
+
+void FollowDuty::OnBehind(TimePoint now) { behind_until_ = now + kDistrust; }
+
+std::size_t FollowDuty::Followers(std::size_t domain_size) {
+  return domain_size <= kSmallDomain ? domain_size : kFollowers;
+}
+
+bool FollowDuty::IsChosen(const std::set<InstanceId>& members) const {
+  const auto before = std::count_if(
+      members.begin(), members.end(),
+      [&](const InstanceId& member) { return member < self_; });
+  return static_cast<std::size_t>(before) < Followers(members.size() + 1);
+}
+
+bool FollowDuty::HearsFollower(TimePoint now) const {
+  return std::any_of(heard_.begin(), heard_.end(), [&](const auto& item) {
+    const Member& member = item.second;
+    return member.follows_since && member.heard + kFollowerSilence >= now &&
+           (!follows_ || *member.follows_since + kHandOver <= now);
+  });
+}
+
+bool FollowDuty::ShouldFollow(TimePoint now,
+                              const std::set<InstanceId>& members) {
+  follows_ = IsChosen(members) || now < behind_until_ || !HearsFollower(now);
+  return follows_;
+}
+
+}  // namespace figwell::serving
--- /dev/null
+++ b/libs/serving/tests/change_log_test.cc
@@ -0,0 +1,160 @@
+#include "figwell/serving/change_log.h"
+
+#include <algorithm>
+
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+constexpr std::size_t kMaxBytes = 200;
+
+LoggedEntry Entry(const std::string& key, store::Revision revision,
+                  const std::string& value = "value") {
+  return {key, value, revision, false};
+}
+
+LoggedEntry Removal(const std::string& key, store::Revision revision) {
+  return {key, {}, revision, true};
+}
+
+// What a reader holds after it took up what a log returned.
+void Apply(const std::vector<LoggedEntry>& news,
+           std::map<std::string, store::Revision>& held) {
+  for (const LoggedEntry& entry : news) {
+    if (entry.removed) {
+      held.erase(entry.key);
+    } else {
+      held[entry.key] = entry.revision;
+    }
+  }
+}
+
+TEST_CASE("a key never goes back to an older state") {
+  ChangeLog log;
+  CHECK(log.Note(Entry("a", 5)));
+  CHECK_FALSE(log.Note(Entry("a", 5)));
+  CHECK(log.Note(Removal("a", 7)));
+  CHECK_FALSE(log.Note(Entry("a", 6)));
+  CHECK(log.newest() == 7);
+}
+
+TEST_CASE("a listing says what was removed meanwhile") {
+  ChangeLog log;
+  log.Replace({Entry("a", 1), Entry("b", 2)}, 2);
+  const auto news = log.Replace({Entry("b", 2), Entry("c", 4)}, 6);
+  REQUIRE(news.size() == 2);
+  CHECK(news[0] == Entry("c", 4));
+  CHECK(news[1].key == "a");
+  CHECK(news[1].removed);
+}
+
+TEST_CASE("a reader gets what it missed, removals too") {
+  ChangeLog log;
+  log.Replace({Entry("a", 1), Entry("b", 2)}, 2);
+  ChangeLog reader;
+  for (const ChangeSet& set : log.Since(reader.newest(), kMaxBytes)) {
+    reader.Take(set);
+  }
+  CHECK(reader.newest() == 2);
+  log.Note(Removal("a", 3));
+  log.Note(Entry("c", 4));
+  const auto sets = log.Since(reader.newest(), kMaxBytes);
+  REQUIRE(sets.size() == 1);
+  CHECK_FALSE(sets[0].whole);
+  const auto news = reader.Take(sets[0]);
+  CHECK(news.size() == 2);
+  CHECK(reader.newest() == 4);
+}
+
+TEST_CASE("an answer counts once all of its parts are there") {
+  ChangeLog log;
+  for (int i = 1; i <= 20; ++i) {
+    log.Note(Entry(std::string("key").append(std::to_string(i)), i,
+                   std::string(40, 'x')));
+  }
+  const auto sets = log.Since(0, kMaxBytes);
+  REQUIRE(sets.size() > 2);
+  ChangeLog reader;
+  for (std::size_t i = 1; i < sets.size(); ++i) {
+    reader.Take(sets[i]);
+    reader.Take(sets[i]);
+  }
+  CHECK(reader.newest() == 0);
+  reader.Take(sets[0]);
+  CHECK(reader.newest() == 20);
+}
+
+TEST_CASE("a gap is not taken for the whole") {
+  ChangeLog log;
+  for (int i = 1; i <= 5; ++i) {
+    log.Note(Entry("a", i));
+  }
+  ChangeLog reader;
+  CHECK(reader.Take({3, 5, 0, 1, false, {Entry("a", 5)}}).empty());
+  CHECK(reader.newest() == 0);
+}
+
+TEST_CASE("whoever missed more than is remembered gets all entries") {
+  ChangeLog log;
+  log.Note(Entry("stays", 1));
+  ChangeLog reader;
+  reader.Take({0, 2, 0, 1, true, {Entry("stays", 1), Entry("gone", 2)}});
+  store::Revision revision = 2;
+  log.Note(Entry("gone", 2));
+  log.Note(Removal("gone", ++revision));
+  for (int i = 0; i < 1'000; ++i) {
+    const std::string key = std::string("short").append(std::to_string(i));
+    log.Note(Entry(key, ++revision));
+    log.Note(Removal(key, ++revision));
+  }
+  std::vector<LoggedEntry> news;
+  for (const ChangeSet& set : log.Since(reader.newest(), kMaxBytes)) {
+    CHECK(set.whole);
+    for (const LoggedEntry& entry : reader.Take(set)) {
+      news.push_back(entry);
+    }
+  }
+  REQUIRE(news.size() == 1);
+  CHECK(news[0].key == "gone");
+  CHECK(news[0].removed);
+  CHECK(reader.newest() == revision);
+}
+
+TEST_CASE("a reader agrees with the store, whatever is lost on the way") {
+  testing::CheckSequences(60, [] {
+    ChangeLog log;
+    ChangeLog reader;
+    std::map<std::string, store::Revision> truth;
+    std::map<std::string, store::Revision> held;
+    store::Revision revision = 0;
+    for (int step = 0; step < 60; ++step) {
+      const auto key = std::string("k").append(
+          std::to_string(*rc::gen::inRange(0, 12)));
+      if (*rc::gen::inRange(0, 3) == 0) {
+        log.Note(Removal(key, ++revision));
+        truth.erase(key);
+      } else {
+        log.Note(Entry(key, ++revision));
+        truth[key] = revision;
+      }
+      auto sets = log.Since(reader.newest(), 60);
+      for (const ChangeSet& set : sets) {
+        if (*rc::gen::inRange(0, 3) != 0) {
+          Apply(reader.Take(set), held);
+        }
+      }
+      RC_ASSERT(reader.newest() <= log.newest());
+      if (reader.newest() == log.newest()) {
+        RC_ASSERT(held == truth);
+      }
+    }
+    for (const ChangeSet& set : log.Since(reader.newest(), 60)) {
+      Apply(reader.Take(set), held);
+    }
+    RC_ASSERT(held == truth);
+  });
+}
+
+}  // namespace
+}  // namespace figwell::serving
--- /dev/null
+++ b/libs/serving/tests/follow_duty_test.cc
@@ -0,0 +1,90 @@
+#include "figwell/serving/follow_duty.h"
+
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+InstanceId Instance(int number) {
+  return InstanceId(std::string("i").append(std::to_string(100 + number)));
+}
+
+// The others of a domain of ten, as seen by its last member.
+std::set<InstanceId> Nine() {
+  std::set<InstanceId> members;
+  for (int i = 0; i < 9; ++i) {
+    members.insert(Instance(i));
+  }
+  return members;
+}
+
+// Hears one member every 100 ms.
+void Hear(FollowDuty& duty, int member, bool follows, std::int64_t from_ms,
+          std::int64_t to_ms) {
+  for (std::int64_t ms = from_ms; ms <= to_ms; ms += 100) {
+    duty.OnMember(At(ms), Instance(member), follows);
+  }
+}
+
+TEST_CASE("all of a small domain follow the store") {
+  FollowDuty duty(Instance(9));
+  Hear(duty, 0, true, 0, 10'000);
+  CHECK(duty.ShouldFollow(At(10'000), {Instance(0), Instance(1), Instance(2)}));
+}
+
+TEST_CASE("the first two of a large domain follow the store") {
+  FollowDuty second(Instance(1));
+  Hear(second, 0, true, 0, 10'000);
+  std::set<InstanceId> members = Nine();
+  members.erase(Instance(1));
+  CHECK(second.ShouldFollow(At(10'000), members));
+}
+
+TEST_CASE("others stop once a follower has proved itself") {
+  FollowDuty duty(Instance(9));
+  CHECK(duty.ShouldFollow(At(0), Nine()));
+  Hear(duty, 0, true, 0, 1'400);
+  CHECK(duty.ShouldFollow(At(1'400), Nine()));
+  Hear(duty, 0, true, 1'500, 1'600);
+  CHECK_FALSE(duty.ShouldFollow(At(1'600), Nine()));
+}
+
+TEST_CASE("everybody follows the store once no follower is heard") {
+  FollowDuty duty(Instance(9));
+  Hear(duty, 0, true, 0, 4'000);
+  CHECK_FALSE(duty.ShouldFollow(At(4'000), Nine()));
+  SECTION("since it fell silent") {
+    CHECK_FALSE(duty.ShouldFollow(At(4'600), Nine()));
+    CHECK(duty.ShouldFollow(At(4'800), Nine()));
+  }
+  SECTION("since it does not reach the store") {
+    duty.OnMember(At(4'100), Instance(0), false);
+    CHECK(duty.ShouldFollow(At(4'100), Nine()));
+    // And goes on until it has followed for some time again.
+    Hear(duty, 0, true, 4'200, 5'600);
+    CHECK(duty.ShouldFollow(At(5'600), Nine()));
+    Hear(duty, 0, true, 5'700, 5'800);
+    CHECK_FALSE(duty.ShouldFollow(At(5'800), Nine()));
+  }
+  SECTION("but not if another one does") {
+    Hear(duty, 1, true, 0, 4'000);
+    duty.OnMember(At(4'100), Instance(0), false);
+    CHECK_FALSE(duty.ShouldFollow(At(4'100), Nine()));
+  }
+}
+
+TEST_CASE("whoever was left behind follows the store for a while") {
+  FollowDuty duty(Instance(9));
+  Hear(duty, 0, true, 0, 4'000);
+  duty.OnBehind(At(4'000));
+  CHECK(duty.ShouldFollow(At(4'000), Nine()));
+  Hear(duty, 0, true, 4'100, 12'100);
+  CHECK_FALSE(duty.ShouldFollow(At(12'100), Nine()));
+}
+
+}  // namespace
+}  // namespace figwell::serving
