Announce placements in batches, avoid a server that rejects, let unasked models wait

The leader, a machine with a tenth of a core and 10 Mbit/s, told each of 60 peers of each change in a datagram of its own: they were lost, so that all instances went on sending to copies that were being dropped (1,116 rejections with 503 in four seconds, nearly all with fewer than 16 requests at the server). And every missing model took the place of any copy, also of the busiest model's, whether or not it was asked for.

Ruled out: full servers (in flight as believed 7.05, in truth 7.02); stale load reports.

Change: announcements of 10 ms go out together, and once more with the order; a server that rejected a model is avoided for 0.4 s while others hold it; a model without a copy that nobody asks for displaces only copies with little work, one that is asked for more.

--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -248,9 +248,11 @@
       return;
     case MessageKind::kPlacement:
       if (const auto placed = peers::Unpack<PlacementMessage>(bytes)) {
-        state_.balancer.OnPlacement(MonotonicNow(), ServerId(placed->server),
-                                    {ModelId(placed->model), placed->adapter},
-                                    placed->present);
+        for (const PlacementItem& item : placed->items) {
+          state_.balancer.OnPlacement(MonotonicNow(), ServerId(item.server),
+                                      {ModelId(item.model), item.adapter},
+                                      item.present);
+        }
       }
       return;
     case MessageKind::kChangesWanted:
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -144,21 +144,36 @@
 void AddItems(const DemandMessage& message, serving::Demand& demand);
 
 /** A server holds a target, or is about to lose it. */
-struct PlacementMessage {
+struct PlacementItem {
   std::string server;
   std::string model;
   std::string adapter;
   bool present = false;
 
+  friend bool operator==(const PlacementItem&, const PlacementItem&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(server, model, adapter, present);
+  }
+};
+
+/** What changed at servers, in order; goes to every peer. */
+struct PlacementMessage {
+  std::vector<PlacementItem> items;
+
   friend bool operator==(const PlacementMessage&,
                          const PlacementMessage&) = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(server, model, adapter, present);
+    archive(items);
   }
 };
 
+/** Items that fit into one message with names of 24 bytes. */
+inline constexpr std::size_t kPlacementItems = 10;
+
 /** A request waits for an adapter that no server holds. */
 struct AdapterWantedMessage {
   std::string model;
--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -45,6 +45,7 @@
       holder_value_(state.settings.instance.value() + " " +
                     std::to_string(incarnation)),
       timer_(state.context),
+      announce_timer_(state.context),
       lease_(HolderKey(), holder_value_,
              {state.settings.bounds.order_separation,
               state.settings.bounds.order_thaw,
--- a/apps/edge/placement_host.h
+++ b/apps/edge/placement_host.h
@@ -68,12 +68,14 @@
   void Carry(TimePoint now, const serving::ServiceSpec& service,
              const serving::CopyMove& move);
   void SendDueUnloads(TimePoint now);
-  void SendOrder(TimePoint now, const serving::CopyMove& move);
+  /** @return whether the order left; it may not while this one cannot lead */
+  bool SendOrder(TimePoint now, const serving::CopyMove& move);
   void OnOrderAnswer(
       const serving::Order& order,
       const tl::expected<http::Response, http::ClientError>& response);
   void Announce(const ServerId& server, const serving::ModelTarget& target,
                 bool present);
+  void SendAnnouncements();
   Duration LoadTime(const serving::Order& order) const;
 
   State& state_;
@@ -83,6 +85,7 @@
   Registrar& registrar_;
   std::string holder_value_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer announce_timer_;
   serving::PlacementLease lease_;
   bool led_ = false;
   std::optional<InstanceId> leader_;
@@ -95,6 +98,7 @@
   std::map<serving::ModelTarget, TimePoint> wanted_;
   std::map<serving::ModelTarget, TimePoint> asked_;
   std::map<ServerId, PendingUnload> unloads_;
+  PlacementMessage announced_;  // still to be sent
   TimePoint last_rebalance_;
   TimePoint state_logged_;
 };
--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -12,6 +12,8 @@
 constexpr milliseconds kAdapterLoad{30};
 // Peers stop sending to a copy before its unload is ordered.
 constexpr Duration kUnloadNotice = milliseconds(300);
+// Announcements this close together go out as one message.
+constexpr milliseconds kAnnounceDelay{10};
 // An adapter that makes way is one that nobody asks for.
 constexpr Duration kAdapterNotice = milliseconds(20);
 
@@ -54,15 +56,19 @@
       Announce(move.server, move.target, true);
       continue;
     }
-    SendOrder(now, move);
+    // Once more, for peers that the first message did not reach.
+    Announce(move.server, move.target, false);
+    if (!SendOrder(now, move)) {
+      Announce(move.server, move.target, true);
+    }
   }
 }
 
-void PlacementHost::SendOrder(TimePoint now, const serving::CopyMove& move) {
+bool PlacementHost::SendOrder(TimePoint now, const serving::CopyMove& move) {
   const serving::BackendServer* server = state_.directory.Find(move.server);
   if (server == nullptr || book_.Orderable(now, move.server) == nullptr ||
       !lease_.Leads(now)) {
-    return;
+    return false;
   }
   const serving::Order order =
       book_.Begin(now, move.server, move.action, move.target);
@@ -84,6 +90,7 @@
        order](const tl::expected<http::Response, http::ClientError>& response) {
         OnOrderAnswer(order, response);
       });
+  return true;
 }
 
 Duration PlacementHost::LoadTime(const serving::Order& order) const {
@@ -156,9 +163,29 @@
 void PlacementHost::Announce(const ServerId& server,
                              const serving::ModelTarget& target, bool present) {
   state_.balancer.OnPlacement(MonotonicNow(), server, target, present);
-  peers_.SendToAll(MessageKind::kPlacement,
-                   PlacementMessage{server.value(), target.model.value(),
-                                    target.adapter, present});
+  // A datagram for each would fill the link of a small machine in a large
+  // fleet, and be lost.
+  const bool waiting = !announced_.items.empty();
+  announced_.items.push_back(
+      {server.value(), target.model.value(), target.adapter, present});
+  if (announced_.items.size() >= kPlacementItems) {
+    SendAnnouncements();
+  } else if (!waiting) {
+    announce_timer_.expires_after(kAnnounceDelay);
+    announce_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        SendAnnouncements();
+      }
+    });
+  }
+}
+
+void PlacementHost::SendAnnouncements() {
+  announce_timer_.cancel();
+  if (!announced_.items.empty()) {
+    peers_.SendToAll(MessageKind::kPlacement, announced_);
+    announced_.items.clear();
+  }
 }
 
 }  // namespace figwell::edge
--- a/apps/edge/shared_view.cc
+++ b/apps/edge/shared_view.cc
@@ -63,8 +63,10 @@
 void SharedView::OnEvent(const store::WatchEvent& event) {
   const bool removed = event.type == store::WatchEvent::Type::kDelete;
   const serving::LoggedEntry entry =
-      removed ? serving::LoggedEntry{event.entry.key, {},
-                                     event.entry.mod_revision, true}
+      removed ? serving::LoggedEntry{event.entry.key,
+                                     {},
+                                     event.entry.mod_revision,
+                                     true}
               : ToEntry(event.entry);
   if (log_.Note(entry)) {
     callbacks_.on_changes({entry});
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -146,6 +146,8 @@
     Duration service_time{0};
     std::optional<PromptIndex> cached;
     std::map<ModelTarget, Announced> announced;
+    /** Until when a target counts as rejected there. */
+    std::map<ModelTarget, TimePoint> rejecting;
   };
   struct PeerState {
     TimePoint heard;
@@ -159,7 +161,8 @@
                   const BackendServer& server, const RequestNeeds& needs,
                   bool home);
   double Penalty(TimePoint now, const ServerState& state,
-                 const BackendServer& server, double usual_failures) const;
+                 const BackendServer& server, const ModelTarget& target,
+                 double usual_failures) const;
   double UsualFailures(const Directory& directory,
                        const ServiceId& service) const;
   void LearnPace(TimePoint now, const Attempt& attempt);
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -41,6 +41,10 @@
 // Cost of a server that fails at once, and of one that fails often.
 constexpr double kAvoidedCostMs = 60'000;
 constexpr double kFailureCostMs = 2'000;
+// An engine rejects a model that it is about to drop, and everything while its
+// memory is full: others are better for a while, if there are any.
+constexpr Duration kRejectingFor = milliseconds(400);
+constexpr double kRejectingCostMs = 1'500;
 // Announcements bridge the time until the registry says the same.
 constexpr Duration kAnnouncementLifetime = std::chrono::seconds(6);
 
@@ -196,12 +200,16 @@
 }
 
 double Balancer::Penalty(TimePoint now, const ServerState& state,
-                         const BackendServer& server,
+                         const BackendServer& server, const ModelTarget& target,
                          double usual_failures) const {
   double cost = server.domain == own_domain_ ? 0 : ToMs(kOtherDomainCost);
   if (state.avoid_until > now) {
     cost += kAvoidedCostMs;
   }
+  const auto rejecting = state.rejecting.find(target);
+  if (rejecting != state.rejecting.end() && rejecting->second > now) {
+    cost += kRejectingCostMs;
+  }
   const double excess =
       state.failure_share - 2 * usual_failures - kFailureMargin;
   if (excess > 0) {
@@ -249,8 +257,9 @@
   for (const BackendServer* server : candidates) {
     const Choice choice =
         Estimate(now, catalog, *server, needs, server == home);
-    const double cost = ToMs(choice.expected) +
-                        Penalty(now, servers_[server->id], *server, usual);
+    const double cost =
+        ToMs(choice.expected) +
+        Penalty(now, servers_[server->id], *server, needs.target, usual);
     if (!best || cost < best_cost) {
       best = choice;
       best_cost = cost;
@@ -336,6 +345,11 @@
   if (end == AttemptEnd::kAbandoned) {
     return;
   }
+  if (end == AttemptEnd::kShed && !attempt.target.model.empty()) {
+    std::erase_if(state.rejecting,
+                  [&](const auto& item) { return item.second <= now; });
+    state.rejecting[attempt.target] = now + kRejectingFor;
+  }
   const bool failed = end != AttemptEnd::kAnswered;
   state.failure_share +=
       kFailureSmoothing * ((failed ? 1.0 : 0.0) - state.failure_share);
--- a/libs/serving/src/copies.cc
+++ b/libs/serving/src/copies.cc
@@ -16,6 +16,8 @@
 constexpr double kEvictionCost = 600;
 // What a model without a copy counts beyond its demand: it serves nobody.
 constexpr double kMissingWork = 150;
+// What a model without a copy counts once it is asked for.
+constexpr double kAskedForWork = 600;
 // One more copy may give way ahead of its load for each such load time.
 constexpr Duration kLoadTimeAnUnload = std::chrono::milliseconds(2'500);
 // A copy makes way only for one that is worth so many times as much.
@@ -192,10 +194,16 @@
   return found == targets_.end() ? 0 : found->second;
 }
 
+double Planner::WorthOfFirstCopy(const ModelId& model) const {
+  const double work = Work(model);
+  return work > 0 ? work + kAskedForWork : kMissingWork;
+}
+
 std::optional<ModelId> Planner::Victim(const EngineState& server,
                                        const ModelId& wanted) const {
   const bool missing = Copies(wanted) == 0;
-  const double gain = Work(wanted) / (Copies(wanted) + 1);
+  const double gain =
+      missing ? WorthOfFirstCopy(wanted) : Work(wanted) / (Copies(wanted) + 1);
   std::optional<ModelId> victim;
   double least = 0;
   for (const auto& [model, adapters] : server.models) {
@@ -205,8 +213,10 @@
       continue;
     }
     const double loss = configured ? WorkPerCopy(model, copies - 1) : 0;
-    const bool spare = copies > Target(model) && loss * kClearGain < gain;
-    if (!missing && !spare) {
+    const bool worth_it =
+        missing ? loss <= gain
+                : copies > Target(model) && loss * kClearGain < gain;
+    if (!worth_it) {
       continue;
     }
     if (!victim || loss < least) {
@@ -273,7 +283,7 @@
         continue;
       }
       const double work =
-          copies == 0 ? Work(id) + kMissingWork : Work(id) / (copies + 1);
+          copies == 0 ? WorthOfFirstCopy(id) : Work(id) / (copies + 1);
       if (!next || work > most) {
         next = id;
         most = work;
--- a/libs/serving/src/copy_planner.h
+++ b/libs/serving/src/copy_planner.h
@@ -74,6 +74,12 @@
 
   int Target(const ModelId& model) const;
 
+  /**
+   * What the first copy of a model is worth. One that nobody asks for can wait
+   * until a copy that is hardly used may give way.
+   */
+  double WorthOfFirstCopy(const ModelId& model) const;
+
   /**
    * The copy on the server whose loss matters least. It has to be worth
    * clearly less than the one that is wanted, or models would change places
--- a/libs/serving/src/follow_duty.cc
+++ b/libs/serving/src/follow_duty.cc
@@ -35,9 +35,9 @@
 }
 
 bool FollowDuty::IsChosen(const std::set<InstanceId>& members) const {
-  const auto before = std::count_if(
-      members.begin(), members.end(),
-      [&](const InstanceId& member) { return member < self_; });
+  const auto before =
+      std::count_if(members.begin(), members.end(),
+                    [&](const InstanceId& member) { return member < self_; });
   return static_cast<std::size_t>(before) < Followers(members.size() + 1);
 }
 
--- a/libs/serving/tests/change_log_test.cc
+++ b/libs/serving/tests/change_log_test.cc
@@ -129,8 +129,8 @@
     std::map<std::string, store::Revision> held;
     store::Revision revision = 0;
     for (int step = 0; step < 60; ++step) {
-      const auto key = std::string("k").append(
-          std::to_string(*rc::gen::inRange(0, 12)));
+      const auto key =
+          std::string("k").append(std::to_string(*rc::gen::inRange(0, 12)));
       if (*rc::gen::inRange(0, 3) == 0) {
         log.Note(Removal(key, ++revision));
         truth.erase(key);
--- a/libs/serving/tests/copies_test.cc
+++ b/libs/serving/tests/copies_test.cc
@@ -214,5 +214,32 @@
   });
 }
 
+// Answers the loss of many servers at once in a burst: their models have to
+// come back, but not in the place of copies that callers need at that moment.
+TEST_CASE("a missing model that nobody asks for takes no busy copy's place") {
+  const EngineSpec engine = MakeEngine(8);
+  const auto servers = MakeServers({{0, 1, 2}, {0, 3, 4}, {0, 5, 6}});
+  Demand demand;
+  demand.work[Model(0)] = 2'400;
+  SECTION("it waits") {
+    for (const CopyMove& move :
+         PlanCopies({engine, servers, demand, 4, true})) {
+      CHECK(move.action != OrderAction::kUnload);
+    }
+  }
+  SECTION("unless it is asked for, and that copy is worth less") {
+    demand.work[Model(0)] = 900;
+    demand.work[Model(7)] = 50;
+    const auto moves = PlanCopies({engine, servers, demand, 4, true});
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].action == OrderAction::kUnload);
+    CHECK(moves[0].target.model == Model(0));
+  }
+  SECTION("a copy that is hardly used gives way") {
+    demand.work[Model(0)] = 200;
+    CHECK(PlanCopies({engine, servers, demand, 4, true}).size() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace figwell::serving
