Leave a domain alone whose servers cannot be reached

Change: three servers of another domain that cannot be reached, and none that can, count as a partition for a second since the last failure; servers there are avoided while others hold the model. After three connections that were not made, a request is refused as not run.

--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -91,6 +91,8 @@
 
   // The attempts.
   int sends_ = 0;
+  /** Servers to which no connection could be made. */
+  int unreached_ = 0;
   /** Some server may have begun to work on the request. */
   bool may_have_run_ = false;
   std::optional<serving::AttemptNumber> attempt_;
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -14,6 +14,9 @@
 // it looks. Longer than a round of orders, short beside a latency target.
 constexpr Duration kLongestTargetWait = milliseconds(350);
 constexpr milliseconds kTargetPoll{15};
+// Connections that are tried for one request: each takes its time, and behind a
+// partition none is made.
+constexpr int kMostUnreached = 3;
 // A model that nobody holds takes seconds to load.
 constexpr Duration kRetryAfterNoModel = milliseconds(1'500);
 constexpr Duration kRetryAfterNoAdapter = milliseconds(200);
@@ -186,11 +189,13 @@
   if (!serving::HasNotRun(progress)) {
     may_have_run_ = true;
   }
+  const bool unreached = progress == serving::Progress::kNotSent;
+  unreached_ += unreached ? 1 : 0;
   const int sent_to = static_cast<int>(needs_.tried.size());
-  const bool may = Remaining().count() > 0 &&
+  const bool may = Remaining().count() > 0 && unreached_ < kMostUnreached &&
                    serving::MayTryAgain(*route_, progress, sent_to);
-  const bool budget = may && (progress == serving::Progress::kNotSent ||
-                              state_.retries.TakeRetry(now, needs_.service));
+  const bool budget =
+      may && (unreached || state_.retries.TakeRetry(now, needs_.service));
   telemetry::Log(Event::kAttemptFailed, detail,
                  {{"request", head_.id.value()},
                   {"server", choice_.server.value()},
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -32,6 +32,7 @@
 /** The server for an attempt, and why. */
 struct Choice {
   ServerId server;
+  DomainId domain;
   std::string address;
   /** Time until the request's first event or answer, as estimated. */
   Duration expected{0};
@@ -121,6 +122,7 @@
  private:
   struct Attempt {
     ServerId server;
+    DomainId domain;
     ModelTarget target;
     Duration work{0};
     Duration wait_at_send{0};
@@ -149,6 +151,12 @@
     /** Until when a target counts as rejected there. */
     std::map<ModelTarget, TimePoint> rejecting;
   };
+  /** What attempts say of the way to a failure domain. */
+  struct DomainState {
+    /** Servers that were not reached since one there last answered. */
+    std::set<ServerId> unreached;
+    TimePoint last_failure;
+  };
   struct PeerState {
     TimePoint heard;
     std::map<ServerId, PeerLoad> loads;
@@ -163,6 +171,9 @@
   double Penalty(TimePoint now, const ServerState& state,
                  const BackendServer& server, const ModelTarget& target,
                  double usual_failures) const;
+  /** Whether the domain seems to be cut off from here. */
+  bool IsCutOff(TimePoint now, const DomainId& domain) const;
+  void NoteReach(TimePoint now, const Attempt& attempt, AttemptEnd end);
   double UsualFailures(const Directory& directory,
                        const ServiceId& service) const;
   void LearnPace(TimePoint now, const Attempt& attempt);
@@ -170,6 +181,7 @@
   DomainId own_domain_;
   std::map<ServerId, ServerState> servers_;
   std::map<InstanceId, PeerState> peers_;
+  std::map<DomainId, DomainState> domains_;
   std::map<AttemptNumber, Attempt> attempts_;
   std::map<ModelId, double> ms_per_token_;
   AttemptNumber next_attempt_ = 1;
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -45,6 +45,10 @@
 // memory is full: others are better for a while, if there are any.
 constexpr Duration kRejectingFor = milliseconds(400);
 constexpr double kRejectingCostMs = 1'500;
+// So many servers of one domain that cannot be reached, and none that can, are
+// a partition. Every so often a request may find out whether it has ended.
+constexpr std::size_t kUnreachedServers = 3;
+constexpr Duration kPartitionDoubt = milliseconds(1'000);
 // Announcements bridge the time until the registry says the same.
 constexpr Duration kAnnouncementLifetime = std::chrono::seconds(6);
 
@@ -138,6 +142,7 @@
   const PeerLoad peers = LoadOfPeers(now, server.id);
   Choice choice;
   choice.server = server.id;
+  choice.domain = server.domain;
   choice.address = server.address;
   choice.in_flight = state.in_flight + peers.in_flight;
   if (state.reported && state.reported_at + kReportLifetime > now) {
@@ -199,11 +204,32 @@
   return *middle;
 }
 
+bool Balancer::IsCutOff(TimePoint now, const DomainId& domain) const {
+  const auto found = domains_.find(domain);
+  return domain != own_domain_ && found != domains_.end() &&
+         found->second.unreached.size() >= kUnreachedServers &&
+         now < found->second.last_failure + kPartitionDoubt;
+}
+
+void Balancer::NoteReach(TimePoint now, const Attempt& attempt,
+                         AttemptEnd end) {
+  if (end == AttemptEnd::kAbandoned) {
+    return;
+  }
+  DomainState& domain = domains_[attempt.domain];
+  if (end == AttemptEnd::kUnreachable) {
+    domain.unreached.insert(attempt.server);
+    domain.last_failure = now;
+  } else if (end != AttemptEnd::kBroken) {
+    domain.unreached.clear();
+  }
+}
+
 double Balancer::Penalty(TimePoint now, const ServerState& state,
                          const BackendServer& server, const ModelTarget& target,
                          double usual_failures) const {
   double cost = server.domain == own_domain_ ? 0 : ToMs(kOtherDomainCost);
-  if (state.avoid_until > now) {
+  if (state.avoid_until > now || IsCutOff(now, server.domain)) {
     cost += kAvoidedCostMs;
   }
   const auto rejecting = state.rejecting.find(target);
@@ -277,6 +303,7 @@
   state.unread += choice.work;
   Attempt attempt;
   attempt.server = choice.server;
+  attempt.domain = choice.domain;
   attempt.target = needs.target;
   attempt.work = choice.work;
   attempt.wait_at_send = choice.wait;
@@ -319,6 +346,7 @@
   }
   Attempt& attempt = found->second;
   attempt.unread = false;
+  domains_[attempt.domain].unreached.clear();
   ServerState& state = servers_[attempt.server];
   state.unread = std::max(Duration{0}, state.unread - attempt.work);
   state.failures_in_row = 0;
@@ -333,6 +361,7 @@
   }
   const Attempt attempt = std::move(found->second);
   attempts_.erase(found);
+  NoteReach(now, attempt, end);
   const auto server = servers_.find(attempt.server);
   if (server == servers_.end()) {
     return;
--- a/libs/serving/tests/balancer_test.cc
+++ b/libs/serving/tests/balancer_test.cc
@@ -212,6 +212,33 @@
   CHECK(world.balancer.MillisecondsPerToken(kModel.model) < 2 * before);
 }
 
+// Answers a partition: a request must not try one server after the other on the
+// far side, each for the time of a connection that is never made.
+TEST_CASE("a domain whose servers cannot be reached is left alone") {
+  World world;
+  for (const char* id : {"a", "b", "c", "d"}) {
+    world.directory.Put(MakeServer(id, kModels, "there"));
+  }
+  world.directory.Put(MakeServer("near", kModels, "here"));
+  RequestNeeds needs = ModelNeeds(2'000);
+  needs.tried.insert(ServerId("near"));
+  for (std::int64_t ms = 0; ms < 3; ++ms) {
+    world.balancer.OnEnd(At(ms), world.Send(ms, needs),
+                         AttemptEnd::kUnreachable);
+  }
+  needs.tried.clear();
+  // Busy as it is, the near one is better than any beyond the partition.
+  for (int i = 0; i < 10; ++i) {
+    world.Send(10, needs);
+  }
+  CHECK(world.Choose(20, needs) == "near");
+  // Much later one of them is worth a try, and its answer ends the doubt.
+  CHECK(world.Choose(1'100, needs) != "near");
+  const AttemptNumber probe = world.Send(1'100, needs);
+  world.balancer.OnFirstByte(At(1'150), probe);
+  CHECK(world.Choose(8'000, needs) != "near");
+}
+
 TEST_CASE("a server that rejects a model gets it again only after a while") {
   World world;
   world.directory.Put(MakeServer("a", kModels, "here"));
