Keep loads for a busy model until copies may be added for it

Cause: copies for demand are added every 400 ms, copies that are missing at any time, so models without a copy that nobody asked for took each load as soon as the weight store allowed it.

Ruled out: places (seven were empty), the ceiling (two loads a second went out).

Change: if the model that is worth a load the most is one that has copies, the load waits for its turn. The test fails without it.

--- a/libs/serving/src/copies.cc
+++ b/libs/serving/src/copies.cc
@@ -278,8 +278,7 @@
     double most = 0;
     for (const auto& [id, target] : targets_) {
       const int copies = Copies(id);
-      if (copies >= target || stuck_.contains(id) ||
-          (copies > 0 && !input_.rebalance)) {
+      if (copies >= target || stuck_.contains(id)) {
         continue;
       }
       const double work =
@@ -293,6 +292,9 @@
       return;
     }
     const bool missing = Copies(*next) == 0;
+    if (!missing && !input_.rebalance) {
+      return;  // its turn comes soon; others must not take its load
+    }
     if (const auto place = FindPlace(*next)) {
       Carry(*place, *next, missing ? MoveReason::kNoCopy : MoveReason::kDemand);
     } else {
--- a/libs/serving/tests/copies_test.cc
+++ b/libs/serving/tests/copies_test.cc
@@ -241,5 +241,25 @@
   }
 }
 
+// Answers the loss of many servers where loads take long: what the weight store
+// allows goes first to what is asked for the most.
+TEST_CASE("loads are kept for a busy model until copies may be added for it") {
+  const EngineSpec engine = MakeEngine(4);
+  const auto servers = MakeServers({{0, 1, 2}, {}});
+  Demand demand;
+  demand.work[Model(0)] = 2'400;
+  // Model 3 has no copy, and nobody asks for it.
+  CHECK(PlanCopies({engine, servers, demand, 1, false}).empty());
+  const auto moves = PlanCopies({engine, servers, demand, 1, true});
+  REQUIRE_FALSE(moves.empty());
+  CHECK(moves[0].target.model == Model(0));
+  // Once someone does, and the busy one has little left to do, it comes first.
+  demand.work[Model(0)] = 300;
+  demand.work[Model(3)] = 20;
+  const auto first = PlanCopies({engine, servers, demand, 1, false});
+  REQUIRE(first.size() == 1);
+  CHECK(first[0].target.model == Model(3));
+}
+
 }  // namespace
 }  // namespace figwell::serving
