--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -53,6 +53,8 @@
   void OnServerChange(const ServerId& id, serving::ServerChange change);
   void OnInstanceEntries(const std::vector<serving::LoggedEntry>& entries);
   void NoteInstance(const serving::LoggedEntry& entry);
+
+  // edge_peers.cc
   void OnMessage(const InstanceId& from, MessageKind kind,
                  std::string_view bytes);
   void OnStatus(const InstanceId& from, const StatusMessage& status);
--- /dev/null
+++ b/apps/edge/edge_peers.cc
@@ -0,0 +1,271 @@
+#include "edge.h"
+
+namespace figwell::edge {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStatusInterval{200};
+// A burst of charges is told sooner, but not more often than this.
+constexpr Duration kShortestStatusInterval = milliseconds(40);
+constexpr milliseconds kDemandInterval{500};
+// Servers change in groups; at most this part of the time in which a server's
+// leaving has to be known.
+constexpr milliseconds kChangesPause{400};
+constexpr milliseconds kPausePerFollower{15};
+constexpr int kPausePartOfNotice = 2;
+// Fits into a datagram beside the spending of some teams.
+constexpr std::size_t kMostLoads = 44;
+constexpr std::size_t kMostTeams = 16;
+
+template <typename T>
+T Clamp(std::int64_t value) {
+  return static_cast<T>(
+      std::clamp<std::int64_t>(value, 0, std::numeric_limits<T>::max()));
+}
+
+}  // namespace
+
+// ----------------------------------------------------------------- received
+
+void Edge::OnMessage(const InstanceId& from, MessageKind kind,
+                     std::string_view bytes) {
+  switch (kind) {
+    case MessageKind::kStatus:
+      if (const auto status = peers::Unpack<StatusMessage>(bytes)) {
+        OnStatus(from, *status);
+      }
+      return;
+    case MessageKind::kDomainStatus:
+      if (const auto status = peers::Unpack<DomainStatusMessage>(bytes)) {
+        OnDomainStatus(from, *status);
+      }
+      return;
+    case MessageKind::kDemand:
+      if (const auto demand = peers::Unpack<DemandMessage>(bytes)) {
+        placement_.OnDemand(from, *demand);
+      }
+      return;
+    case MessageKind::kPlacement:
+      if (const auto placed = peers::Unpack<PlacementMessage>(bytes)) {
+        for (const PlacementItem& item : placed->items) {
+          state_.balancer.OnPlacement(MonotonicNow(), ServerId(item.server),
+                                      {ModelId(item.model), item.adapter},
+                                      item.present);
+        }
+      }
+      return;
+    case MessageKind::kChangesWanted:
+      if (const auto wanted = peers::Unpack<ChangesWantedMessage>(bytes)) {
+        OnChangesWanted(from, *wanted);
+      }
+      return;
+    case MessageKind::kChanges:
+      if (const auto changes = peers::Unpack<ChangesMessage>(bytes)) {
+        ViewOf(changes->view).OnChanges(changes->changes);
+      }
+      return;
+    case MessageKind::kAdapterWanted:
+      if (const auto wanted = peers::Unpack<AdapterWantedMessage>(bytes)) {
+        placement_.OnAdapterWanted(*wanted);
+      }
+      return;
+  }
+}
+
+const std::map<ServerId, serving::PeerLoad>& Edge::TakeLoads(
+    const InstanceId& from, const StatusMessage& status) {
+  auto& loads = told_loads_[from];
+  if (status.first) {
+    loads.clear();
+  }
+  for (const ServerLoadItem& item : status.loads) {
+    const auto server = server_of_hash_.find(item.server);
+    if (server != server_of_hash_.end()) {
+      loads[server->second] = {item.in_flight, milliseconds(item.unread_ms)};
+    }
+  }
+  return loads;
+}
+
+void Edge::OnStatus(const InstanceId& from, const StatusMessage& status) {
+  const TimePoint now = MonotonicNow();
+  const auto& loads = TakeLoads(from, status);
+  state_.balancer.OnPeerLoads(now, from, loads);
+  state_.allowances.OnPeer(now, from, {status.incarnation, 1, status.spending});
+  summary_.OnMember(now, from, status.incarnation, loads, status.spending);
+  duty_.OnMember(now, from, status.follows);
+  CompareRevisions(from, status);
+}
+
+void Edge::OnDomainStatus(const InstanceId& from,
+                          const DomainStatusMessage& message) {
+  if (DomainId(message.domain) == state_.settings.failure_domain) {
+    return;  // an echo of the own domain's sums
+  }
+  const TimePoint now = MonotonicNow();
+  const InstanceId standin = StandInFor(DomainId(message.domain));
+  state_.balancer.OnPeerLoads(now, standin, TakeLoads(standin, message.sums));
+  state_.allowances.OnPeer(
+      now, standin,
+      {message.sums.incarnation, message.instances, message.sums.spending});
+  CompareRevisions(from, message.sums);
+  const auto reachable = peers_.Reachable();
+  const auto sender = reachable.find(from);
+  if (sender != reachable.end() &&
+      sender->second != state_.settings.failure_domain) {
+    peers_.SendToOwnDomain(MessageKind::kDomainStatus, message);
+  }
+}
+
+InstanceId Edge::StandInFor(const DomainId& domain) {
+  // No instance has a space in its name.
+  return InstanceId("domain " + domain.value());
+}
+
+void Edge::CompareRevisions(const InstanceId& from,
+                            const StatusMessage& status) {
+  const TimePoint now = MonotonicNow();
+  servers_view_.OnPeer(now, from, status.servers_revision);
+  instances_view_.OnPeer(now, from, status.instances_revision);
+}
+
+void Edge::DecideFollowing(TimePoint now) {
+  const bool follow = duty_.ShouldFollow(now, peers_.LiveInOwnDomain());
+  servers_view_.SetFollowing(follow);
+  instances_view_.SetFollowing(follow);
+}
+
+// --------------------------------------------------------------------- sent
+
+std::vector<StatusMessage> Edge::MakeStatus(
+    std::uint64_t incarnation,
+    const std::map<ServerId, serving::PeerLoad>& loads,
+    const std::vector<serving::TeamSpending>& spending) const {
+  StatusMessage frame;
+  frame.incarnation = incarnation;
+  frame.follows = servers_view_.Follows() && instances_view_.Follows();
+  frame.servers_revision = servers_view_.newest();
+  frame.instances_revision = instances_view_.newest();
+  std::vector<StatusMessage> parts(1, frame);
+  frame.first = false;
+  for (const auto& [server, load] : loads) {
+    if (parts.back().loads.size() == kMostLoads) {
+      parts.push_back(frame);
+    }
+    parts.back().loads.push_back(
+        {StableHash(server.value()), Clamp<std::uint16_t>(load.in_flight),
+         Clamp<std::uint16_t>(load.unread / milliseconds(1))});
+  }
+  std::size_t part = 0;
+  for (const serving::TeamSpending& team : spending) {
+    if (parts[part].spending.size() == kMostTeams && ++part == parts.size()) {
+      parts.push_back(frame);
+    }
+    parts[part].spending.push_back(team);
+  }
+  return parts;
+}
+
+void Edge::TickStatus() {
+  const TimePoint now = MonotonicNow();
+  for (const ServerId& gone : state_.directory.Expire(now)) {
+    OnServerChange(gone, serving::ServerChange::kGone);
+  }
+  if (instances_view_.listed()) {
+    NotePeers(now);
+    DecideFollowing(now);
+  }
+  SendStatus(now);
+}
+
+void Edge::NotePeers(TimePoint now) {
+  const auto serving = peers_.PossiblyServing(now);
+  std::map<InstanceId, int> standins;
+  std::map<DomainId, std::size_t> sizes{{state_.settings.failure_domain, 1}};
+  for (const auto& [instance, domain] : serving) {
+    ++sizes[domain];
+    if (domain == state_.settings.failure_domain) {
+      standins[instance] = 1;
+    } else {
+      ++standins[StandInFor(domain)];
+    }
+  }
+  state_.allowances.SetPeers(now, standins);
+  state_.retries.SetInstances(serving.size() + 1);
+  std::size_t followers = 0;
+  for (const auto& [domain, size] : sizes) {
+    followers += serving::FollowDuty::Followers(size);
+  }
+  // Each change wakes all that follow the store, so that calls grow with the
+  // square of their number unless each waits longer.
+  const milliseconds pause = std::min<milliseconds>(
+      state_.settings.bounds.drain_notice / kPausePartOfNotice,
+      kChangesPause + kPausePerFollower * static_cast<std::int64_t>(followers));
+  servers_view_.SetPause(pause);
+  instances_view_.SetPause(pause);
+  placement_.SetCandidates(followers, servers_view_.following());
+}
+
+void Edge::SendStatusSoon() {
+  const TimePoint now = MonotonicNow();
+  if (now - status_sent_ >= kShortestStatusInterval) {
+    SendStatus(now);
+  }
+}
+
+void Edge::SendStatus(TimePoint now) {
+  status_sent_ = now;
+  const auto loads = state_.balancer.OwnLoads();
+  const auto spending = state_.allowances.Own(now);
+  for (const StatusMessage& part : MakeStatus(incarnation_, loads, spending)) {
+    peers_.SendToOwnDomain(MessageKind::kStatus, part);
+  }
+  SendDomainStatus(now, loads, spending);
+  status_timer_.expires_after(kStatusInterval);
+  status_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      TickStatus();
+    }
+  });
+}
+
+void Edge::SendDomainStatus(
+    TimePoint now, const std::map<ServerId, serving::PeerLoad>& loads,
+    const std::vector<serving::TeamSpending>& spending) {
+  const auto delegates = peers_.Delegates();
+  const DomainId& own = state_.settings.failure_domain;
+  if (delegates.at(own) != state_.settings.instance) {
+    return;
+  }
+  const auto instances = Clamp<std::uint16_t>(summary_.Instances(now));
+  const std::uint64_t speaker =
+      StableHash(state_.settings.instance.value(), incarnation_);
+  for (StatusMessage& part : MakeStatus(speaker, summary_.Loads(now, loads),
+                                        summary_.Spending(spending))) {
+    const DomainStatusMessage message{own.value(), instances, std::move(part)};
+    for (const auto& [domain, delegate] : delegates) {
+      if (domain != own) {
+        peers_.Send(delegate, MessageKind::kDomainStatus, message);
+      }
+    }
+  }
+}
+
+void Edge::TickDemand() {
+  const TimePoint now = MonotonicNow();
+  const std::optional<InstanceId>& leader = placement_.leader();
+  if (leader && *leader != state_.settings.instance) {
+    for (const DemandMessage& message : ToMessages(state_.demand.Rates(now))) {
+      peers_.Send(*leader, MessageKind::kDemand, message);
+    }
+  }
+  demand_timer_.expires_after(kDemandInterval);
+  demand_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      TickDemand();
+    }
+  });
+}
+
+}  // namespace figwell::edge
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -123,11 +123,13 @@
   constexpr int kServerErrors = 5;
   const bool failed = status_ / 100 == kServerErrors;
   const int sent_to = static_cast<int>(needs_.tried.size());
+  std::optional<serving::Choice> other;
   if (failed && Remaining().count() > 0 &&
-      serving::MayTryAgain(*route_, serving::Progress::kRan, sent_to) &&
-      state_.balancer.Choose(MonotonicNow(), *catalog_, state_.directory,
-                             needs_) &&
-      state_.retries.TakeRetry(MonotonicNow(), needs_.service)) {
+      serving::MayTryAgain(*route_, serving::Progress::kRan, sent_to)) {
+    other = state_.balancer.Choose(MonotonicNow(), *catalog_, state_.directory,
+                                   needs_);
+  }
+  if (other && state_.retries.TakeRetry(MonotonicNow(), needs_.service)) {
     state_.balancer.OnEnd(MonotonicNow(), *attempt_,
                           serving::AttemptEnd::kFailed);
     attempt_.reset();
@@ -137,7 +139,7 @@
                     {"server", choice_.server.value()},
                     {"status", std::to_string(status_)},
                     {"next", "other_server"}});
-    Attempt();
+    Send(*other);
     return;
   }
   state_.balancer.OnEnd(
