--- a/libs/peers/src/membership.cc
+++ b/libs/peers/src/membership.cc
@@ -9,6 +9,8 @@
 constexpr std::size_t kNewsTargetsInDomain = 3;
 constexpr Duration kContactInterval = std::chrono::seconds(5);
 constexpr Duration kJoinInterval = std::chrono::milliseconds(500);
+/** Addresses that are tried at once by a process that knows nobody. */
+constexpr std::size_t kContactsWhenAlone = 8;
 constexpr Duration kExpiryInterval = std::chrono::minutes(1);
 /** Records that spread at once; a mass start has more. */
 constexpr std::size_t kMaxQueue = 32;
@@ -66,7 +68,7 @@
   if (now >= next_contact_) {
     const bool alone = table_.live_count() <= 1;
     next_contact_ = now + (alone ? kJoinInterval : kContactInterval);
-    PingContact(out);
+    PingContacts(alone ? kContactsWhenAlone : 1, out);
   }
   if (now >= next_expiry_) {
     next_expiry_ = now + kExpiryInterval;
@@ -125,14 +127,15 @@
   return contacts;
 }
 
-void Membership::PingContact(OutgoingList& out) {
-  const std::vector<std::string> contacts = Contacts();
-  if (contacts.empty()) {
-    return;
+void Membership::PingContacts(std::size_t most, OutgoingList& out) {
+  std::vector<std::string> contacts = Contacts();
+  for (std::size_t i = 0; i < most && !contacts.empty(); ++i) {
+    std::swap(contacts[random_.Below(contacts.size())], contacts.back());
+    out.push_back({.kind = MessageKind::kPing,
+                   .address = std::move(contacts.back()),
+                   .introduce = true});
+    contacts.pop_back();
   }
-  out.push_back({.kind = MessageKind::kPing,
-                 .address = contacts[random_.Below(contacts.size())],
-                 .introduce = true});
 }
 
 bool Membership::Merge(TimePoint now, const MemberRecord& record) {
--- a/libs/peers/src/membership.h
+++ b/libs/peers/src/membership.h
@@ -124,7 +124,7 @@
   void Ping(TimePoint now, Round& round, OutgoingList& out);
   void RefreshRounds();
   void RefreshSummary();
-  void PingContact(OutgoingList& out);
+  void PingContacts(std::size_t most, OutgoingList& out);
   void CheckProbes(TimePoint now, OutgoingList& out);
   void AskOthersToPing(const InstanceId& target, OutgoingList& out);
   void Suspect(TimePoint now, const InstanceId& instance);
--- a/libs/peers/tests/logic_test.cc
+++ b/libs/peers/tests/logic_test.cc
@@ -3,6 +3,7 @@
 #include "denials.h"
 #include "figwell/testing.h"
 #include "member_table.h"
+#include "membership.h"
 #include "relay.h"
 
 namespace figwell::peers {
@@ -65,6 +66,27 @@
   CHECK(table.digest() == 0);
 }
 
+TEST_CASE("a process that knows nobody tries several addresses at once") {
+  // After a loss of power all start at the same moment: until they know of each
+  // other, each spends only its own part of the teams' limits.
+  constexpr std::size_t kAtOnce = 8;
+  Membership membership(kStart, Record(1, 1, MemberState::kAlive), {}, 1);
+  std::vector<std::string> hints;
+  for (int i = 0; i < 20; ++i) {
+    hints.push_back(std::string("10.0.0.1:").append(std::to_string(7'000 + i)));
+  }
+  membership.SetHints(hints);
+  OutgoingList out;
+  membership.Tick(kStart + seconds(1), out);
+  std::set<std::string> tried;
+  for (const Outgoing& outgoing : out) {
+    if (outgoing.introduce) {
+      tried.insert(outgoing.address);
+    }
+  }
+  CHECK(tried.size() == kAtOnce);
+}
+
 TEST_CASE("a change of one member moves at most one watcher") {
   std::vector<InstanceId> members;
   members.reserve(81);
