Log what an instance believes of placements, and whether it follows the store

Announcements of the leader go before the registry for six seconds, and no line said what an instance had heard; nor did one say when an instance began or ended to follow the store. placement_heard has one line a message of up to ten items.

--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -60,6 +60,7 @@
   void OnStatus(const InstanceId& from, const StatusMessage& status);
   void OnDomainStatus(const InstanceId& from,
                       const DomainStatusMessage& message);
+  void OnPlacements(const InstanceId& from, const PlacementMessage& message);
   /** The loads that a sender told of, with this part of its message. */
   const std::map<ServerId, serving::PeerLoad>& TakeLoads(
       const InstanceId& from, const StatusMessage& status);
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -48,11 +48,7 @@
       return;
     case MessageKind::kPlacement:
       if (const auto placed = peers::Unpack<PlacementMessage>(bytes)) {
-        for (const PlacementItem& item : placed->items) {
-          state_.balancer.OnPlacement(MonotonicNow(), ServerId(item.server),
-                                      {ModelId(item.model), item.adapter},
-                                      item.present);
-        }
+        OnPlacements(from, *placed);
       }
       return;
     case MessageKind::kChangesWanted:
@@ -73,6 +69,22 @@
   }
 }
 
+void Edge::OnPlacements(const InstanceId& from,
+                        const PlacementMessage& message) {
+  const TimePoint now = MonotonicNow();
+  std::string text;
+  for (const PlacementItem& item : message.items) {
+    const serving::ModelTarget target{ModelId(item.model), item.adapter};
+    state_.balancer.OnPlacement(now, ServerId(item.server), target,
+                                item.present);
+    text += text.empty() ? "" : " ";
+    text += item.server + (item.present ? "+" : "-") + item.model;
+    text += item.adapter.empty() ? "" : "/" + item.adapter;
+  }
+  telemetry::Log(telemetry::Event::kPlacementHeard, {},
+                 {{"from", from.value()}, {"items", text}});
+}
+
 const std::map<ServerId, serving::PeerLoad>& Edge::TakeLoads(
     const InstanceId& from, const StatusMessage& status) {
   auto& loads = told_loads_[from];
@@ -131,9 +143,17 @@
 }
 
 void Edge::DecideFollowing(TimePoint now) {
-  const bool follow = duty_.ShouldFollow(now, peers_.LiveInOwnDomain());
+  const auto members = peers_.LiveInOwnDomain();
+  const bool follow = duty_.ShouldFollow(now, members);
+  const bool followed = servers_view_.following();
   servers_view_.SetFollowing(follow);
   instances_view_.SetFollowing(follow);
+  if (servers_view_.following() != followed) {
+    telemetry::Log(telemetry::Event::kFollowingChanged, {},
+                   {{"follows", followed ? "false" : "true"},
+                    {"members", std::to_string(members.size())},
+                    {"revision", std::to_string(servers_view_.newest())}});
+  }
 }
 
 // --------------------------------------------------------------------- sent
--- a/libs/peers/tests/logic_test.cc
+++ b/libs/peers/tests/logic_test.cc
@@ -72,6 +72,7 @@
   constexpr std::size_t kAtOnce = 8;
   Membership membership(kStart, Record(1, 1, MemberState::kAlive), {}, 1);
   std::vector<std::string> hints;
+  hints.reserve(20);
   for (int i = 0; i < 20; ++i) {
     hints.push_back(std::string("10.0.0.1:").append(std::to_string(7'000 + i)));
   }
--- a/libs/telemetry/include/figwell/telemetry.h
+++ b/libs/telemetry/include/figwell/telemetry.h
@@ -39,6 +39,7 @@
   kReloadFailed = 1008,
   kDependencyLost = 1101,
   kDependencyRegained = 1102,
+  kFollowingChanged = 1103,
   kConfigRejected = 1203,
   kConfigInForce = 1204,
   kPatchAccepted = 1205,
@@ -69,6 +70,7 @@
   kOrderSent = 1703,
   kOrderEnded = 1704,
   kPlacementState = 1705,
+  kPlacementHeard = 1706,
 };
 
 /** One row of the catalogue. */
--- a/libs/telemetry/src/event_catalogue.cc
+++ b/libs/telemetry/src/event_catalogue.cc
@@ -16,6 +16,7 @@
     EventInfo{Event::kReloadFailed, "reload_failed", Level::kError},
     EventInfo{Event::kDependencyLost, "dependency_lost", Level::kWarning},
     EventInfo{Event::kDependencyRegained, "dependency_regained", Level::kInfo},
+    EventInfo{Event::kFollowingChanged, "following_changed", Level::kInfo},
     EventInfo{Event::kConfigRejected, "config_rejected", Level::kError},
     EventInfo{Event::kConfigInForce, "config_in_force", Level::kInfo},
     EventInfo{Event::kPatchAccepted, "patch_accepted", Level::kInfo},
@@ -46,6 +47,7 @@
     EventInfo{Event::kOrderSent, "order_sent", Level::kInfo},
     EventInfo{Event::kOrderEnded, "order_ended", Level::kInfo},
     EventInfo{Event::kPlacementState, "placement_state", Level::kInfo},
+    EventInfo{Event::kPlacementHeard, "placement_heard", Level::kInfo},
 };
 
 }  // namespace
