--- a/libs/serving/include/figwell/serving/summary.h
+++ b/libs/serving/include/figwell/serving/summary.h
@@ -43,6 +43,8 @@
   struct Member {
     std::uint64_t incarnation = 0;
     TimePoint heard;
+    /** From then on, teams that are told of for the first time began at 0. */
+    TimePoint settled;
     std::map<ServerId, PeerLoad> loads;
     std::map<std::uint64_t, Tokens> spent;
   };
--- a/libs/serving/src/summary.cc
+++ b/libs/serving/src/summary.cc
@@ -26,16 +26,18 @@
   const auto [found, first] = members_.try_emplace(id);
   Member& member = found->second;
   const bool unheard = first || member.heard + kSpendingSilence < now;
-  if (unheard || member.incarnation != incarnation) {
+  const bool restarted = member.incarnation != incarnation;
+  if (unheard || restarted) {
     member.spent.clear();
+    member.settled = unheard ? now + kSpendingSilence : now;
   }
   member.incarnation = incarnation;
   member.heard = now;
   member.loads = loads;
   for (const TeamSpending& item : spending) {
+    const Tokens first_count = now < member.settled ? item.spent : 0;
     Tokens& before =
-        member.spent.try_emplace(item.team, unheard ? item.spent : 0)
-            .first->second;
+        member.spent.try_emplace(item.team, first_count).first->second;
     spent_[item.team] += std::max<Tokens>(0, item.spent - before);
     before = std::max(before, item.spent);
   }
--- a/libs/serving/tests/summary_test.cc
+++ b/libs/serving/tests/summary_test.cc
@@ -62,6 +62,28 @@
   CHECK(total() == 510);
 }
 
+TEST_CASE("what a member charged before is not new in any part of its report") {
+  // Reports of many teams come in parts, and a part may be lost at first.
+  constexpr std::uint64_t kOtherTeam = 8;
+  DomainSummary summary;
+  const auto total = [&] {
+    return summary.Spending({{kOtherTeam, 10, 0}})[0].spent;
+  };
+  summary.OnMember(At(0), kOne, 1, {}, {{kTeam, 9'000'000, 0}});
+  summary.OnMember(At(200), kOne, 1, {}, {{kTeam, 9'000'100, 0}});
+  summary.OnMember(At(201), kOne, 1, {}, {{kOtherTeam, 5'000'000, 0}});
+  CHECK(total() == 10);
+  summary.OnMember(At(400), kOne, 1, {}, {{kOtherTeam, 5'000'300, 0}});
+  CHECK(total() == 310);
+  // A team that is configured later begins at 0 everywhere.
+  constexpr std::uint64_t kNewTeam = 9;
+  for (std::int64_t ms = 600; ms <= 2'000; ms += 200) {
+    summary.OnMember(At(ms), kOne, 1, {}, {{kTeam, 9'000'100, 0}});
+  }
+  summary.OnMember(At(2'200), kOne, 1, {}, {{kNewTeam, 70, 0}});
+  CHECK(summary.Spending({{kNewTeam, 0, 0}})[0].spent == 70);
+}
+
 TEST_CASE("sums cover the members that were heard lately") {
   DomainSummary summary;
   CHECK(summary.Instances(At(0)) == 1);
