Say once what stood twice in the change: worth of a copy, charges of a fleet, pauses

Read again as a whole: the worth of a model's next copy stood in two places; a change log raised what it knew and set it back; a view kept its follower's pause; two tests of rates counted charges in windows, two spent in small steps. Peers were counted again for each registration instead of at each tick, 85 times at a mass start.

What peers tell of instances before the store has listed them is no longer taken for the whole list, and the known holder of the placement key is told of with the first listing, whichever came first.

Sanitizers were not run on this commit.

--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -110,7 +110,8 @@
   std::map<std::uint64_t, ServerId> server_of_hash_;
   std::map<InstanceId, std::map<ServerId, serving::PeerLoad>> told_loads_;
   serving::FollowDuty duty_;
-  bool holder_told_ = false;
+  std::optional<store::KeyValue> holder_;
+  bool listed_instances_ = false;
   TimePoint status_sent_;
   std::optional<TimePoint> stopping_;
   bool accepting_ = true;
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -134,9 +134,7 @@
     const ServerId id = adapter::ServerOfKey(entry.key);
     if (entry.removed) {
       OnServerChange(id, state_.directory.Remove(now, id));
-      continue;
-    }
-    if (const auto server = UnpackServer(entry.value)) {
+    } else if (const auto server = UnpackServer(entry.value)) {
       OnServerChange(id, state_.directory.Put(*server));
     } else {
       telemetry::Log(Event::kEntryUnreadable, server.error().message,
@@ -175,24 +173,27 @@
 // ---------------------------------------------------------------- instances
 
 void Edge::OnInstanceEntries(const std::vector<serving::LoggedEntry>& entries) {
-  std::optional<store::KeyValue> holder;
-  bool changed = !holder_told_;  // nobody holds a key that is not listed
+  // What peers tell before the store has listed all may be incomplete.
+  const bool first = instances_view_.listed() && !listed_instances_;
+  listed_instances_ = instances_view_.listed();
+  bool changed = first;  // nobody holds a key that is not listed
   for (const serving::LoggedEntry& entry : entries) {
     if (entry.key == placement_.HolderKey()) {
       changed = true;
-      holder.reset();
+      holder_.reset();
       if (!entry.removed) {
-        holder = {entry.key, entry.value, 0, entry.revision, 0};
+        holder_ = {entry.key, entry.value, 0, entry.revision, 0};
       }
     }
     NoteInstance(entry);
   }
   if (changed) {
-    holder_told_ = true;
-    placement_.OnHolder(holder);
+    placement_.OnHolder(holder_);
   }
   peers_.SetRegistered(instances_);
-  NotePeers(MonotonicNow());
+  if (first) {
+    NotePeers(MonotonicNow());  // later ones are counted at each tick
+  }
 }
 
 void Edge::NoteInstance(const serving::LoggedEntry& entry) {
--- a/apps/edge/shared_view.cc
+++ b/apps/edge/shared_view.cc
@@ -29,11 +29,6 @@
            [this] { callbacks_.on_lost(); },
            [this](Duration) { callbacks_.on_regained(); }}) {}
 
-void SharedView::SetPause(milliseconds pause) {
-  pause_ = pause;
-  follower_.SetPause(pause);
-}
-
 void SharedView::SetFollowing(bool following) {
   if (following == follower_.following()) {
     return;
@@ -86,11 +81,11 @@
   const Duration behind = now - *behind_since_;
   const bool relies = !Follows();
   if (newest > log_.newest() && now - asked_ >= kAskInterval &&
-      (relies || behind >= pause_ + kAskAfter)) {
+      (relies || behind >= follower_.pause() + kAskAfter)) {
     asked_ = now;
     callbacks_.ask(peer, log_.newest());
   }
-  if (behind >= (relies ? kRelyingBehindFor : pause_ + kBehindFor)) {
+  if (behind >= (relies ? kRelyingBehindFor : follower_.pause() + kBehindFor)) {
     behind_since_ = now;
     callbacks_.on_behind();
   }
--- a/apps/edge/shared_view.h
+++ b/apps/edge/shared_view.h
@@ -37,7 +37,7 @@
              SharedViewCallbacks callbacks);
 
   void Start() { follower_.Start(); }
-  void SetPause(std::chrono::milliseconds pause);
+  void SetPause(std::chrono::milliseconds pause) { follower_.SetPause(pause); }
   /** Begins or ends to follow the store; no change: does nothing. */
   void SetFollowing(bool following);
   /** Reads all items again, also if another call is under way. */
@@ -66,7 +66,6 @@
   SharedViewCallbacks callbacks_;
   StoreFollower follower_;
   serving::ChangeLog log_;
-  std::chrono::milliseconds pause_{0};
   store::Revision highest_heard_ = 0;
   std::optional<TimePoint> behind_since_;
   TimePoint asked_;
--- a/apps/edge/store_follower.h
+++ b/apps/edge/store_follower.h
@@ -40,6 +40,7 @@
    * together then cost one call. None unless this was called.
    */
   void SetPause(std::chrono::milliseconds pause) { pause_ = pause; }
+  std::chrono::milliseconds pause() const { return pause_; }
   /** Reads all items again now, besides any call that is under way. */
   void Refresh();
   /** Waits for no more changes; a call that is under way is given up. */
--- a/libs/serving/include/figwell/serving/change_log.h
+++ b/libs/serving/include/figwell/serving/change_log.h
@@ -85,7 +85,9 @@
     std::set<std::string> keys;
   };
 
-  void NoteRemoval(const LoggedEntry& entry);
+  /** Keeps the entry if it is newer; what is complete stays as it is. */
+  bool Keep(const LoggedEntry& entry);
+  void RememberRemoval(const std::string& key);
   std::vector<LoggedEntry> RemoveAllBut(const std::set<std::string>& keys,
                                         store::Revision revision);
 
--- a/libs/serving/src/change_log.cc
+++ b/libs/serving/src/change_log.cc
@@ -16,8 +16,8 @@
 
 }  // namespace
 
-void ChangeLog::NoteRemoval(const LoggedEntry& entry) {
-  removals_.push_back(entry.key);
+void ChangeLog::RememberRemoval(const std::string& key) {
+  removals_.push_back(key);
   while (removals_.size() > kMostRemovals) {
     const auto oldest = entries_.find(removals_.front());
     removals_.pop_front();
@@ -29,8 +29,12 @@
 }
 
 bool ChangeLog::Note(const LoggedEntry& entry) {
-  const auto [found, added] = entries_.try_emplace(entry.key, entry);
   newest_ = std::max(newest_, entry.revision);
+  return Keep(entry);
+}
+
+bool ChangeLog::Keep(const LoggedEntry& entry) {
+  const auto [found, added] = entries_.try_emplace(entry.key, entry);
   if (!added) {
     if (found->second.revision >= entry.revision) {
       return false;
@@ -38,7 +42,7 @@
     found->second = entry;
   }
   if (entry.removed) {
-    NoteRemoval(entry);
+    RememberRemoval(entry.key);
   }
   return true;
 }
@@ -53,7 +57,7 @@
     }
   }
   for (const LoggedEntry& entry : removed) {
-    NoteRemoval(entry);
+    RememberRemoval(entry.key);
   }
   return removed;
 }
@@ -112,15 +116,13 @@
   if (!pending_ || pending_->upto != set.upto || pending_->after != set.after) {
     pending_ = Pending{set.after, set.upto, {}, {}};
   }
-  const store::Revision before = newest_;
   std::vector<LoggedEntry> news;
   for (const LoggedEntry& entry : set.entries) {
     pending_->keys.insert(entry.key);
-    if (Note(entry)) {
+    if (Keep(entry)) {
       news.push_back(entry);
     }
   }
-  newest_ = before;
   pending_->parts.insert(set.part);
   if (pending_->parts.size() < set.parts) {
     return news;
--- a/libs/serving/src/copies.cc
+++ b/libs/serving/src/copies.cc
@@ -194,16 +194,18 @@
   return found == targets_.end() ? 0 : found->second;
 }
 
-double Planner::WorthOfFirstCopy(const ModelId& model) const {
+double Planner::WorthOfNextCopy(const ModelId& model) const {
   const double work = Work(model);
+  if (Copies(model) > 0) {
+    return work / (Copies(model) + 1);
+  }
   return work > 0 ? work + kAskedForWork : kMissingWork;
 }
 
 std::optional<ModelId> Planner::Victim(const EngineState& server,
                                        const ModelId& wanted) const {
   const bool missing = Copies(wanted) == 0;
-  const double gain =
-      missing ? WorthOfFirstCopy(wanted) : Work(wanted) / (Copies(wanted) + 1);
+  const double gain = WorthOfNextCopy(wanted);
   std::optional<ModelId> victim;
   double least = 0;
   for (const auto& [model, adapters] : server.models) {
@@ -277,15 +279,13 @@
     std::optional<ModelId> next;
     double most = 0;
     for (const auto& [id, target] : targets_) {
-      const int copies = Copies(id);
-      if (copies >= target || stuck_.contains(id)) {
+      if (Copies(id) >= target || stuck_.contains(id)) {
         continue;
       }
-      const double work =
-          copies == 0 ? WorthOfFirstCopy(id) : Work(id) / (copies + 1);
-      if (!next || work > most) {
+      const double worth = WorthOfNextCopy(id);
+      if (!next || worth > most) {
         next = id;
-        most = work;
+        most = worth;
       }
     }
     if (!next) {
--- a/libs/serving/src/copy_planner.h
+++ b/libs/serving/src/copy_planner.h
@@ -75,10 +75,10 @@
   int Target(const ModelId& model) const;
 
   /**
-   * What the first copy of a model is worth. One that nobody asks for can wait
-   * until a copy that is hardly used may give way.
+   * What one more copy of a model is worth. The first one of a model that
+   * nobody asks for can wait until a copy that is hardly used may give way.
    */
-  double WorthOfFirstCopy(const ModelId& model) const;
+  double WorthOfNextCopy(const ModelId& model) const;
 
   /**
    * The copy on the server whose loss matters least. It has to be worth
--- a/libs/serving/tests/allowance_fleet_test.cc
+++ b/libs/serving/tests/allowance_fleet_test.cc
@@ -6,6 +6,7 @@
 #include <deque>
 #include <string>
 
+#include "charges.h"
 #include "figwell/serving/allowance.h"
 #include "figwell/serving/summary.h"
 #include "figwell/testing.h"
@@ -66,7 +67,7 @@
       Instance& instance = instances_[random_.Below(kInstances)];
       if (now >= instance.up &&
           instance.allowances.Charge(now, kTeam, cost).admitted) {
-        spent_.emplace_back(now, cost);
+        charges_.Add(now, cost);
       }
     }
     for (std::size_t i = 0; i < kInstances; ++i) {
@@ -76,27 +77,7 @@
     }
   }
 
-  Tokens MostIn(Duration window) const {
-    Tokens most = 0;
-    Tokens sum = 0;
-    std::size_t first = 0;
-    for (const auto& [at, cost] : spent_) {
-      sum += cost;
-      while (spent_[first].first + window < at) {
-        sum -= spent_[first++].second;
-      }
-      most = std::max(most, sum);
-    }
-    return most;
-  }
-
-  Tokens Between(TimePoint from, TimePoint to) const {
-    Tokens sum = 0;
-    for (const auto& [at, cost] : spent_) {
-      sum += at >= from && at < to ? cost : 0;
-    }
-    return sum;
-  }
+  const Charges& charges() const { return charges_; }
 
  private:
   struct Instance {
@@ -250,7 +231,7 @@
   std::uint64_t incarnations_ = 0;
   std::deque<Message> messages_;
   double asked_ = 0;
-  std::vector<std::pair<TimePoint, Tokens>> spent_;
+  Charges charges_;
 };
 
 TEST_CASE("a large fleet keeps a hot team within its limit") {
@@ -261,10 +242,10 @@
          now += kStep) {
       fleet.Step(now, now < TimePoint(std::chrono::seconds(3)) ? 0.5 : 5);
     }
-    CHECK(fleet.MostIn(kWindow) <= kBound);
+    CHECK(fleet.charges().MostIn(kWindow) <= kBound);
     // What the limit allows is not refused either.
-    CHECK(fleet.Between(TimePoint(std::chrono::seconds(6)),
-                        TimePoint(std::chrono::seconds(16))) >=
+    CHECK(fleet.charges().Between(TimePoint(std::chrono::seconds(6)),
+                                  TimePoint(std::chrono::seconds(16))) >=
           kRate * 10 * 9 / 10);
   }
 }
@@ -281,9 +262,9 @@
       }
       fleet.Step(now, now < TimePoint(std::chrono::seconds(5)) ? 0.5 : 5);
     }
-    CHECK(fleet.MostIn(kWindow) <= kBound);
-    CHECK(fleet.Between(killed + std::chrono::seconds(6),
-                        killed + std::chrono::seconds(11)) >=
+    CHECK(fleet.charges().MostIn(kWindow) <= kBound);
+    CHECK(fleet.charges().Between(killed + std::chrono::seconds(6),
+                                  killed + std::chrono::seconds(11)) >=
           kRate * 5 * 9 / 10);
   }
 }
--- a/libs/serving/tests/allowance_test.cc
+++ b/libs/serving/tests/allowance_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <deque>
 
+#include "charges.h"
 #include "figwell/testing.h"
 
 namespace figwell::serving {
@@ -22,6 +23,17 @@
   return {{kTeam, team}};
 }
 
+// What a team can charge that asks for as much as it may get, in small steps.
+Tokens SpendForTenSeconds(Allowances& allowances) {
+  Tokens spent = 0;
+  for (std::int64_t ms = 0; ms < 10'000; ms += 10) {
+    while (allowances.Charge(At(ms), kTeam, 10).admitted) {
+      spent += 10;
+    }
+  }
+  return spent;
+}
+
 TEST_CASE("a team without a limit is always admitted") {
   Allowances allowances;
   allowances.Configure(At(0), Teams(0, 0));
@@ -58,12 +70,7 @@
   allowances.SetPeers(At(0), {{peer, 1}});
   allowances.Configure(At(0), Teams(1'000, 1'000));
   // Never heard: half of the rate for ten seconds, and half of a burst.
-  Tokens spent = 0;
-  for (std::int64_t ms = 0; ms < 10'000; ms += 10) {
-    while (allowances.Charge(At(ms), kTeam, 10).admitted) {
-      spent += 10;
-    }
-  }
+  const Tokens spent = SpendForTenSeconds(allowances);
   CHECK(spent <= 5'000 + 500);
   CHECK(spent >= 4'900);
 }
@@ -111,7 +118,7 @@
     }
     for (std::size_t i = 0; i < instances_.size(); ++i) {
       if (instances_[i].Charge(now, kTeam, cost).admitted) {
-        spent_.push_back({now, cost});
+        charges_.Add(now, cost);
       }
       const bool regular = now.time_since_epoch() % milliseconds(200) ==
                            milliseconds(10 * static_cast<int>(i));
@@ -125,28 +132,7 @@
     }
   }
 
-  // The most that was charged in any window of that length.
-  Tokens MostIn(Duration window) const {
-    Tokens most = 0;
-    Tokens sum = 0;
-    std::size_t first = 0;
-    for (const auto& [at, cost] : spent_) {
-      sum += cost;
-      while (spent_[first].first + window < at) {
-        sum -= spent_[first++].second;
-      }
-      most = std::max(most, sum);
-    }
-    return most;
-  }
-
-  Tokens Total() const {
-    Tokens sum = 0;
-    for (const auto& [at, cost] : spent_) {
-      sum += cost;
-    }
-    return sum;
-  }
+  const Charges& charges() const { return charges_; }
 
  private:
   struct Report {
@@ -163,7 +149,7 @@
   std::vector<Allowances> instances_;
   std::vector<std::uint64_t> incarnations_;
   std::deque<Report> reports_;
-  std::vector<std::pair<TimePoint, Tokens>> spent_;
+  Charges charges_;
 };
 
 // The users' bound on these deployments: a tenth over the limit and 17,000
@@ -181,8 +167,8 @@
   for (std::int64_t ms = 0; ms < 30'000; ms += 10) {
     fleet.Step(At(ms), together, 2'400);
   }
-  CHECK(fleet.MostIn(kWindow) <= Bound(kRate, kRate));
-  CHECK(fleet.Total() >= kRate * 28);
+  CHECK(fleet.charges().MostIn(kWindow) <= Bound(kRate, kRate));
+  CHECK(fleet.charges().Total() >= kRate * 28);
 }
 
 TEST_CASE("a partition keeps both sides together within the limit") {
@@ -201,7 +187,7 @@
       }
       fleet.Step(At(ms), side, 2'400);
     }
-    RC_ASSERT(fleet.MostIn(kWindow) <= Bound(kRate, kRate));
+    RC_ASSERT(fleet.charges().MostIn(kWindow) <= Bound(kRate, kRate));
   });
 }
 
@@ -217,19 +203,14 @@
     }
     fleet.Step(At(ms), together, 2'400);
   }
-  CHECK(fleet.MostIn(kWindow) <= Bound(kRate, kRate));
+  CHECK(fleet.charges().MostIn(kWindow) <= Bound(kRate, kRate));
 }
 
 TEST_CASE("a peer that stands for a domain has that many parts of the limit") {
   Allowances allowances;
   allowances.SetPeers(At(0), {{InstanceId("domain"), 3}});
   allowances.Configure(At(0), Teams(1'000, 1'000));
-  Tokens spent = 0;
-  for (std::int64_t ms = 0; ms < 10'000; ms += 10) {
-    while (allowances.Charge(At(ms), kTeam, 10).admitted) {
-      spent += 10;
-    }
-  }
+  const Tokens spent = SpendForTenSeconds(allowances);
   CHECK(spent <= 2'500 + 250);
   CHECK(spent >= 2'450);
 }
