Read times of settings as fractions too; one pace for all services' loads

Cause: deployments may state a time such as 2.5 s. The settings were read as whole numbers, so that such a file kept the process from starting. And the pace of loads was kept by service, though all services load from one weight store: two with engines together could have gone beyond its rate. Ruled out: a bound that a deployment leaves empty; it keeps its default. Before: 'retry_window_s: 2.5' is refused (the test failed).

--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -154,7 +154,7 @@
                  {{"fence", std::to_string(lease_.fence())}});
   book_.Clear();
   unloads_.clear();
-  pacers_.clear();
+  pacer_.Reset(now);
   last_rebalance_ = now;
 }
 
@@ -297,23 +297,18 @@
     }
     servers.emplace(id, std::move(engine));
   }
-  auto [pacer, added] = pacers_.try_emplace(service.id);
-  if (added) {
-    pacer->second.Reset(now);
-  }
-  pacer->second.Configure(service.engine->loads_per_second);
+  pacer_.Configure(service.engine->loads_per_second);
   const bool rebalance = now - last_rebalance_ >= kRebalanceEvery;
   forecast_.Update(now, TotalDemand(now));
   const serving::Demand demand = forecast_.Ahead(ForecastTime(service));
   LogState(now, servers, demand);
-  const auto moves =
-      serving::PlanCopies({*service.engine, servers, demand,
-                           pacer->second.Allowed(now), rebalance});
+  const auto moves = serving::PlanCopies(
+      {*service.engine, servers, demand, pacer_.Allowed(now), rebalance});
   if (rebalance) {
     last_rebalance_ = now;
   }
   for (const serving::CopyMove& move : moves) {
-    Carry(now, service, move);
+    Carry(now, move);
   }
 }
 
--- a/apps/edge/placement_host.h
+++ b/apps/edge/placement_host.h
@@ -65,8 +65,7 @@
                 const std::map<ServerId, serving::EngineState>& servers,
                 const serving::Demand& demand);
   serving::Demand TotalDemand(TimePoint now);
-  void Carry(TimePoint now, const serving::ServiceSpec& service,
-             const serving::CopyMove& move);
+  void Carry(TimePoint now, const serving::CopyMove& move);
   void SendDueUnloads(TimePoint now);
   /** @return whether the order left; it may not while this one cannot lead */
   bool SendOrder(TimePoint now, const serving::CopyMove& move);
@@ -92,7 +91,8 @@
 
   serving::OrderBook book_;
   serving::DemandForecast forecast_;
-  std::map<ServiceId, serving::LoadPacer> pacers_;
+  /** One for all services: they load from the same weight store. */
+  serving::LoadPacer pacer_;
   std::map<InstanceId, serving::Demand> demand_of_peers_;
   std::map<InstanceId, TimePoint> demand_heard_;
   std::map<serving::ModelTarget, TimePoint> wanted_;
--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -24,8 +24,7 @@
 
 }  // namespace
 
-void PlacementHost::Carry(TimePoint now, const serving::ServiceSpec& service,
-                          const serving::CopyMove& move) {
+void PlacementHost::Carry(TimePoint now, const serving::CopyMove& move) {
   if (move.action == serving::OrderAction::kUnload) {
     Announce(move.server, move.target, false);
     const Duration notice =
@@ -37,7 +36,7 @@
   const bool from_store = move.target.adapter.empty() && view != nullptr &&
                           !view->at_hand.contains(move.target.model);
   if (from_store) {
-    pacers_[service.id].OnLoad(now);
+    pacer_.OnLoad(now);
   }
   SendOrder(now, move);
 }
--- a/libs/config/include/figwell/config/edge_settings.h
+++ b/libs/config/include/figwell/config/edge_settings.h
@@ -22,13 +22,13 @@
   std::chrono::milliseconds shortest_lease{1'000};
   /** Sends beyond the first, as a part of first sends, in a window. */
   double retry_ratio = 0.2;
-  std::chrono::seconds retry_window{10};
+  std::chrono::milliseconds retry_window{10'000};
   /** Sends that are allowed beyond the ratio, over all instances. */
   double retry_allowance = 0;
   /** How long after it was told a server that leaves may get new work. */
   std::chrono::milliseconds drain_notice{2'000};
   /** How long a process may go on after SIGTERM. */
-  std::chrono::seconds stop_grace{8};
+  std::chrono::milliseconds stop_grace{8'000};
 
   friend bool operator==(const EdgeBounds&, const EdgeBounds&) = default;
 };
@@ -44,7 +44,7 @@
   /** Every key that this system writes to the store starts with it. */
   std::string store_prefix = "figwell/";
   /** How long the store keeps changes for those who watch. */
-  std::chrono::seconds store_history{20};
+  std::chrono::milliseconds store_history{20'000};
   EdgeBounds bounds;
   /** Log lines a second on average; 0: no bound. */
   double log_lines_per_second = 300;
--- a/libs/config/src/edge_settings.cc
+++ b/libs/config/src/edge_settings.cc
@@ -1,11 +1,18 @@
 #include "figwell/config/edge_settings.h"
 
+#include <cmath>
+
 #include "address.h"
 #include "yaml_reader.h"
 
 namespace figwell::config {
 namespace {
 
+using std::chrono::milliseconds;
+
+constexpr milliseconds kMillisecond{1};
+constexpr milliseconds kSecond{1'000};
+
 std::string ReadAddress(MappingReader& reader, const std::string& name) {
   std::string address = reader.RequiredText(name);
   if (!address.empty() && !IsIpAndPort(address, /*allow_port_zero=*/true)) {
@@ -30,30 +37,32 @@
   return fallback;
 }
 
-template <typename Unit>
-Unit ReadTime(MappingReader& reader, const std::string& name, Unit fallback) {
-  const std::int64_t count = reader.Integer(name, fallback.count());
-  if (count < 0) {
-    reader.Report(name, "must be at least 0");
-    return fallback;
-  }
-  return Unit(count);
+// Deployments give some times as fractions, such as 2.5 s.
+milliseconds ReadTime(MappingReader& reader, const std::string& name,
+                      milliseconds unit, milliseconds fallback) {
+  const auto per_unit = static_cast<double>(unit.count());
+  const double count = ReadNumber(
+      reader, name, static_cast<double>(fallback.count()) / per_unit);
+  return milliseconds(std::llround(count * per_unit));
 }
 
 EdgeBounds ReadBounds(MappingReader reader) {
   EdgeBounds bounds;
-  bounds.order_separation =
-      ReadTime(reader, "order_separation_ms", bounds.order_separation);
-  bounds.order_thaw = ReadTime(reader, "order_thaw_ms", bounds.order_thaw);
-  bounds.shortest_lease =
-      ReadTime(reader, "shortest_lease_ms", bounds.shortest_lease);
+  bounds.order_separation = ReadTime(reader, "order_separation_ms",
+                                     kMillisecond, bounds.order_separation);
+  bounds.order_thaw =
+      ReadTime(reader, "order_thaw_ms", kMillisecond, bounds.order_thaw);
+  bounds.shortest_lease = ReadTime(reader, "shortest_lease_ms", kMillisecond,
+                                   bounds.shortest_lease);
   bounds.retry_ratio = ReadNumber(reader, "retry_ratio", bounds.retry_ratio);
-  bounds.retry_window = ReadTime(reader, "retry_window_s", bounds.retry_window);
+  bounds.retry_window =
+      ReadTime(reader, "retry_window_s", kSecond, bounds.retry_window);
   bounds.retry_allowance =
       ReadNumber(reader, "retry_allowance", bounds.retry_allowance);
   bounds.drain_notice =
-      ReadTime(reader, "drain_notice_ms", bounds.drain_notice);
-  bounds.stop_grace = ReadTime(reader, "stop_grace_s", bounds.stop_grace);
+      ReadTime(reader, "drain_notice_ms", kMillisecond, bounds.drain_notice);
+  bounds.stop_grace =
+      ReadTime(reader, "stop_grace_s", kSecond, bounds.stop_grace);
   reader.ReportUnknownFields();
   return bounds;
 }
@@ -72,7 +81,8 @@
   MappingReader store = reader.Mapping("store");
   settings.store_address = ReadAddress(store, "address");
   settings.store_prefix = store.Text("prefix", settings.store_prefix);
-  settings.store_history = ReadTime(store, "history_s", settings.store_history);
+  settings.store_history =
+      ReadTime(store, "history_s", kSecond, settings.store_history);
   store.ReportUnknownFields();
   settings.bounds = ReadBounds(reader.Mapping("bounds"));
   settings.log_lines_per_second =
--- a/libs/config/tests/edge_settings_test.cc
+++ b/libs/config/tests/edge_settings_test.cc
@@ -20,6 +20,8 @@
   order_separation_ms: 3500
   retry_ratio: 0.25
   drain_notice_ms: 3000
+  retry_window_s: 2.5
+  stop_grace_s:
 )";
 
 TEST_CASE("settings of an edge are read, with defaults for the rest") {
@@ -30,6 +32,7 @@
   CHECK(settings->bounds.order_separation == std::chrono::milliseconds(3'500));
   CHECK(settings->bounds.retry_ratio == 0.25);
   CHECK(settings->bounds.drain_notice == std::chrono::milliseconds(3'000));
+  CHECK(settings->bounds.retry_window == std::chrono::milliseconds(2'500));
   CHECK(settings->bounds.stop_grace == EdgeBounds().stop_grace);
   CHECK(settings->store_prefix == "figwell/");
   CHECK(settings->store_history == std::chrono::seconds(30));
