Tell callers when a missing model can have been loaded

One whose adapter was missing was told 200 ms even while nobody gave orders. Change: the model's load time, and the separation of orders while there is no leader, at most a third of the caller's time. It is decision code now. Before: 'a caller comes back when a missing model can have been loaded' has nothing to call. After: passes.

--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -51,6 +51,7 @@
   void Attempt();
   void WaitForTarget();
   void RefuseWithoutServer();
+  serving::MissingTarget Missing() const;
   void Send(const serving::Choice& choice);
   void OnError(const http::ClientError& error);
   void OnRejected(int status);
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -17,11 +17,8 @@
 // Connections that are tried for one request: each takes its time, and behind a
 // partition none is made.
 constexpr int kMostUnreached = 3;
-// A model that nobody holds takes seconds to load.
-constexpr Duration kRetryAfterNoModel = milliseconds(1'500);
-constexpr Duration kRetryAfterNoAdapter = milliseconds(200);
-// Callers take a Retry-After of up to this part of the time they have left.
-constexpr int kRetryAfterPart = 3;
+// Of a model that the configuration does not name: the next one may.
+constexpr Duration kUnknownLoadTime = milliseconds(1'500);
 
 }  // namespace
 
@@ -85,11 +82,28 @@
     FailRequest(adapter::FailureReason::kBroken, "no other server");
     return;
   }
-  const Duration retry_after = std::min(
-      needs_.target.adapter.empty() ? kRetryAfterNoModel : kRetryAfterNoAdapter,
-      Remaining() / kRetryAfterPart);
-  Refuse(serving::RefusalReason::kNoServer, retry_after,
-         needs_.target.model.value() + "/" + needs_.target.adapter);
+  const serving::MissingTarget missing = Missing();
+  Refuse(serving::RefusalReason::kNoServer,
+         serving::RetryAfterForMissing(missing, Remaining()),
+         fmt::format("{}/{} load {} orders in {}", needs_.target.model.value(),
+                     needs_.target.adapter, Ms(missing.load_time),
+                     Ms(missing.orders_pause)));
+}
+
+serving::MissingTarget CallerRequest::Missing() const {
+  serving::MissingTarget missing;
+  const serving::ModelTarget base{needs_.target.model, {}};
+  const serving::ModelSpec* model =
+      catalog_->FindModel(needs_.service, needs_.target.model);
+  if (!state_.balancer.SomeoneHolds(MonotonicNow(), state_.directory,
+                                    needs_.service, base)) {
+    missing.load_time = model == nullptr ? kUnknownLoadTime : model->load_time;
+  }
+  if (!needs_.target.model.empty() && !placement_.leader()) {
+    const config::EdgeBounds& bounds = state_.settings.bounds;
+    missing.orders_pause = bounds.order_separation + bounds.order_thaw;
+  }
+  return missing;
 }
 
 void CallerRequest::Send(const serving::Choice& choice) {
--- a/libs/serving/include/figwell/serving/admission.h
+++ b/libs/serving/include/figwell/serving/admission.h
@@ -58,6 +58,23 @@
  */
 Duration RetryAfterForLoad(Duration work_ahead, Duration remaining);
 
+/** What keeps a target from being served. */
+struct MissingTarget {
+  /** Loads the model takes first; nothing if only the adapter is missing. */
+  Duration load_time{0};
+  /** Until orders can be given again; nothing if someone gives them. */
+  Duration orders_pause{0};
+
+  friend bool operator==(const MissingTarget&, const MissingTarget&) = default;
+};
+
+/**
+ * When a caller should come back whose target no server holds: once it can
+ * have been loaded, at most a third of the time the caller has left. Answers
+ * demand that moves to a model without copies, and a time without a leader.
+ */
+Duration RetryAfterForMissing(const MissingTarget& missing, Duration remaining);
+
 inline constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(100);
 
 }  // namespace figwell::serving
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -16,6 +16,10 @@
 constexpr int kLatePriority = 7;
 // A wait over this part of the target counts as a queue.
 constexpr int kQueueParts = 2;
+// Callers take a Retry-After of up to this part of the time they have left.
+constexpr int kRetryAfterPart = 3;
+// From a wish to its order, and from the load's end to the news of it.
+constexpr Duration kOrderAndNews = milliseconds(200);
 
 }  // namespace
 
@@ -81,7 +85,16 @@
 }
 
 Duration RetryAfterForLoad(Duration work_ahead, Duration remaining) {
-  return std::max(kShortestRetryAfter, std::min(work_ahead, remaining / 3));
+  return std::max(kShortestRetryAfter,
+                  std::min(work_ahead, remaining / kRetryAfterPart));
+}
+
+Duration RetryAfterForMissing(const MissingTarget& missing,
+                              Duration remaining) {
+  const Duration loaded =
+      missing.orders_pause + missing.load_time + kOrderAndNews;
+  return std::max(kShortestRetryAfter,
+                  std::min(loaded, remaining / kRetryAfterPart));
 }
 
 }  // namespace figwell::serving
--- a/libs/serving/tests/admission_test.cc
+++ b/libs/serving/tests/admission_test.cc
@@ -66,5 +66,19 @@
   CHECK(RetryAfterForLoad({}, milliseconds(3'000)) == kShortestRetryAfter);
 }
 
+TEST_CASE("a caller comes back when a missing model can have been loaded") {
+  const MissingTarget model{milliseconds(2'300), {}};
+  const Duration retry_after = RetryAfterForMissing(model, milliseconds(8'000));
+  CHECK(retry_after >= milliseconds(2'300));
+  CHECK(retry_after <= milliseconds(2'600));
+  // Within the part of its time in which callers come back.
+  CHECK(RetryAfterForMissing(model, milliseconds(3'000)) ==
+        Duration(milliseconds(1'000)));
+  // An adapter is there at once, unless nobody gives orders.
+  CHECK(RetryAfterForMissing({}, milliseconds(8'000)) <= milliseconds(300));
+  CHECK(RetryAfterForMissing({{}, milliseconds(2'000)}, milliseconds(8'000)) >=
+        milliseconds(2'000));
+}
+
 }  // namespace
 }  // namespace figwell::serving
