Believe announcements while the registry says nothing new

A model had been unloaded at 16.03 s, the store was away from 18.0 to 22.5 s, and the entry that still named the model prevailed when the announcement's six seconds had passed. Change: an announcement also holds until the registry has told of the server anew, three seconds after it or later, for 30 s at most. Ruled out: rejections for lack of memory; all were of models that the servers had unloaded. Before: an announcement ended after six seconds in any case; the two new tests were written with the change, not run on the code before it, which is not told of the registry's news. After: they pass.

--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -135,6 +135,7 @@
     if (entry.removed) {
       OnServerChange(id, state_.directory.Remove(now, id));
     } else if (const auto server = UnpackServer(entry.value)) {
+      state_.balancer.OnRegistered(now, id);
       OnServerChange(id, state_.directory.Put(*server));
     } else {
       telemetry::Log(Event::kEntryUnreadable, server.error().message,
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -120,6 +120,8 @@
   /** A server was announced to hold, or not to hold any more, a target. */
   void OnPlacement(TimePoint now, const ServerId& server,
                    const ModelTarget& target, bool present);
+  /** The registry has told of the server anew. */
+  void OnRegistered(TimePoint now, const ServerId& server);
   /** A server restarted or is gone: what was known of it is void. */
   void Forget(const ServerId& server);
 
@@ -146,7 +148,7 @@
   };
   struct Announced {
     bool present = false;
-    TimePoint until;
+    TimePoint since;
   };
   struct ServerState {
     int in_flight = 0;
@@ -160,6 +162,7 @@
     Duration service_time{0};
     std::optional<PromptIndex> cached;
     std::map<ModelTarget, Announced> announced;
+    TimePoint registered;
     /** Until when a target counts as rejected there. */
     std::map<ModelTarget, TimePoint> rejecting;
   };
@@ -176,6 +179,9 @@
 
   bool Holds(TimePoint now, const BackendServer& server,
              const ModelTarget& target) const;
+  /** Whether an announcement goes before what the registry says. */
+  static bool Prevails(TimePoint now, const ServerState& state,
+                       const Announced& announced);
   PeerLoad LoadOfPeers(TimePoint now, const ServerId& server) const;
   Choice Estimate(TimePoint now, const Catalog& catalog,
                   const BackendServer& server, const RequestNeeds& needs,
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -61,7 +61,8 @@
       return std::nullopt;
     }
     const auto found = state->second.announced.find(which);
-    if (found == state->second.announced.end() || found->second.until <= now) {
+    if (found == state->second.announced.end() ||
+        !Prevails(now, state->second, found->second)) {
       return std::nullopt;
     }
     return found->second.present;
@@ -74,6 +75,18 @@
          announced(target).value_or(server.Holds(target));
 }
 
+bool Balancer::Prevails(TimePoint now, const ServerState& state,
+                        const Announced& announced) {
+  const Duration age = now - announced.since;
+  if (age < kAnnouncementLifetime) {
+    return true;
+  }
+  // While the store is away, the registry says what was true before.
+  const bool registered_since =
+      state.registered >= announced.since + kRegistryLag;
+  return !registered_since && age < kLongestAnnouncement;
+}
+
 bool Balancer::SomeoneHolds(TimePoint now, const Directory& directory,
                             const ServiceId& service,
                             const ModelTarget& target) const {
@@ -236,6 +249,8 @@
   const double usual = UsualFailures(directory, needs.service);
   std::vector<Choice> choices;
   std::vector<double> costs;
+  choices.reserve(candidates.size());
+  costs.reserve(candidates.size());
   for (const BackendServer* server : candidates) {
     choices.push_back(Estimate(now, catalog, *server, needs, server == home));
     costs.push_back(
--- a/libs/serving/src/balancer_outcomes.cc
+++ b/libs/serving/src/balancer_outcomes.cc
@@ -25,8 +25,6 @@
 // An engine rejects a model that it is about to drop, and everything while its
 // memory is full: others are better for a while, if there are any.
 constexpr Duration kRejectingFor = milliseconds(400);
-// Announcements bridge the time until the registry says the same.
-constexpr Duration kAnnouncementLifetime = std::chrono::seconds(6);
 
 }  // namespace
 
@@ -185,9 +183,17 @@
 void Balancer::OnPlacement(TimePoint now, const ServerId& server,
                            const ModelTarget& target, bool present) {
   ServerState& state = servers_[server];
-  state.announced[target] = {present, now + kAnnouncementLifetime};
-  std::erase_if(state.announced,
-                [&](const auto& item) { return item.second.until <= now; });
+  state.announced[target] = {present, now};
+  std::erase_if(state.announced, [&](const auto& item) {
+    return now - item.second.since >= kLongestAnnouncement;
+  });
+}
+
+void Balancer::OnRegistered(TimePoint now, const ServerId& server) {
+  const auto found = servers_.find(server);
+  if (found != servers_.end()) {
+    found->second.registered = now;
+  }
 }
 
 void Balancer::Forget(const ServerId& server) {
--- a/libs/serving/tests/balancer_test.cc
+++ b/libs/serving/tests/balancer_test.cc
@@ -254,5 +254,28 @@
   CHECK(world.Choose(620, needs) == "a");
 }
 
+TEST_CASE("while the registry says nothing new, announcements hold") {
+  // A copy is unloaded just before the store goes away for some seconds.
+  World world;
+  world.directory.Put(MakeServer("a", kModels, "here"));
+  world.directory.Put(MakeServer("b", kModels, "there"));
+  world.balancer.OnPlacement(At(1'000), ServerId("a"), kModel, false);
+  // Written before the unload, and told after it.
+  world.balancer.OnRegistered(At(1'500), ServerId("a"));
+  const RequestNeeds needs = ModelNeeds(100);
+  CHECK(world.Choose(6'000, needs) == "b");
+  CHECK(world.Choose(9'000, needs) == "b");
+  world.balancer.OnRegistered(At(9'500), ServerId("a"));
+  CHECK(world.Choose(9'600, needs) == "a");
+}
+
+TEST_CASE("an announcement that never comes true is forgotten") {
+  World world;
+  world.directory.Put(MakeServer("a", kModels, "here"));
+  world.balancer.OnPlacement(At(0), ServerId("a"), kModel, false);
+  CHECK(world.Choose(20'000, ModelNeeds(100)) == "none");
+  CHECK(world.Choose(40'000, ModelNeeds(100)) == "a");
+}
+
 }  // namespace
 }  // namespace figwell::serving
