Take the registry's lag from the settings

Cause: how long an announcement goes before the registry was a constant, three and six seconds, from the users' present sites; other deployments state another lag. Before and after: no difference on sites with a lag of 3 s; serving, config and edge tests pass.

--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -18,7 +18,8 @@
         const config::EdgeSettings& edge_settings)
       : context(io_context),
         settings(edge_settings),
-        balancer(settings.failure_domain, StableHash(RandomHex(8))),
+        balancer(settings.failure_domain, StableHash(RandomHex(8)),
+                 settings.bounds.registry_lag),
         retries({settings.bounds.retry_ratio, settings.bounds.retry_window,
                  settings.bounds.retry_allowance}),
         random(StableHash(RandomHex(8))) {}
--- a/libs/config/include/figwell/config/edge_settings.h
+++ b/libs/config/include/figwell/config/edge_settings.h
@@ -27,6 +27,8 @@
   double retry_allowance = 0;
   /** How long after it was told a server that leaves may get new work. */
   std::chrono::milliseconds drain_notice{2'000};
+  /** How old what the registry says of a server may be. */
+  std::chrono::milliseconds registry_lag{3'000};
   /** How long a process may go on after SIGTERM. */
   std::chrono::milliseconds stop_grace{8'000};
 
--- a/libs/config/src/edge_settings.cc
+++ b/libs/config/src/edge_settings.cc
@@ -61,6 +61,8 @@
       ReadNumber(reader, "retry_allowance", bounds.retry_allowance);
   bounds.drain_notice =
       ReadTime(reader, "drain_notice_ms", kMillisecond, bounds.drain_notice);
+  bounds.registry_lag =
+      ReadTime(reader, "registry_lag_s", kSecond, bounds.registry_lag);
   bounds.stop_grace =
       ReadTime(reader, "stop_grace_s", kSecond, bounds.stop_grace);
   reader.ReportUnknownFields();
--- a/libs/config/tests/edge_settings_test.cc
+++ b/libs/config/tests/edge_settings_test.cc
@@ -21,6 +21,7 @@
   retry_ratio: 0.25
   drain_notice_ms: 3000
   retry_window_s: 2.5
+  registry_lag_s: 5
   stop_grace_s:
 )";
 
@@ -33,6 +34,7 @@
   CHECK(settings->bounds.retry_ratio == 0.25);
   CHECK(settings->bounds.drain_notice == std::chrono::milliseconds(3'000));
   CHECK(settings->bounds.retry_window == std::chrono::milliseconds(2'500));
+  CHECK(settings->bounds.registry_lag == std::chrono::milliseconds(5'000));
   CHECK(settings->bounds.stop_grace == EdgeBounds().stop_grace);
   CHECK(settings->store_prefix == "figwell/");
   CHECK(settings->store_history == std::chrono::seconds(30));
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -95,8 +95,12 @@
  */
 class Balancer {
  public:
-  Balancer(DomainId own_domain, std::uint64_t random_seed)
-      : own_domain_(std::move(own_domain)), random_(random_seed) {}
+  /** @param registry_lag how old what the registry says may be */
+  Balancer(DomainId own_domain, std::uint64_t random_seed,
+           Duration registry_lag)
+      : own_domain_(std::move(own_domain)),
+        random_(random_seed),
+        registry_lag_(registry_lag) {}
 
   /**
    * A server of those with the least expected time, see DrawServer; nullopt if
@@ -180,8 +184,8 @@
   bool Holds(TimePoint now, const BackendServer& server,
              const ModelTarget& target) const;
   /** Whether an announcement goes before what the registry says. */
-  static bool Prevails(TimePoint now, const ServerState& state,
-                       const Announced& announced);
+  bool Prevails(TimePoint now, const ServerState& state,
+                const Announced& announced) const;
   PeerLoad LoadOfPeers(TimePoint now, const ServerId& server) const;
   Choice Estimate(TimePoint now, const Catalog& catalog,
                   const BackendServer& server, const RequestNeeds& needs,
@@ -198,6 +202,7 @@
 
   DomainId own_domain_;
   Random random_;
+  Duration registry_lag_;
   std::map<ServerId, ServerState> servers_;
   std::map<InstanceId, PeerState> peers_;
   std::map<DomainId, DomainState> domains_;
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -76,14 +76,14 @@
 }
 
 bool Balancer::Prevails(TimePoint now, const ServerState& state,
-                        const Announced& announced) {
+                        const Announced& announced) const {
   const Duration age = now - announced.since;
-  if (age < kAnnouncementLifetime) {
+  if (age < registry_lag_ * kAnnouncementLags) {
     return true;
   }
   // While the store is away, the registry says what was true before.
   const bool registered_since =
-      state.registered >= announced.since + kRegistryLag;
+      state.registered >= announced.since + registry_lag_;
   return !registered_since && age < kLongestAnnouncement;
 }
 
--- a/libs/serving/src/balancer_times.h
+++ b/libs/serving/src/balancer_times.h
@@ -14,10 +14,9 @@
 // Time from a prompt's last token to the first event, without other work.
 inline constexpr Duration kFirstEventBase = std::chrono::milliseconds(25);
 
-// Announcements bridge the time until the registry says the same: the servers'
-// entries lag by up to kRegistryLag (seed_lag_s of the users' sites).
-inline constexpr Duration kRegistryLag = std::chrono::seconds(3);
-inline constexpr Duration kAnnouncementLifetime = std::chrono::seconds(6);
+// Announcements bridge the time until the registry says the same: its lag, and
+// as much for the order to take effect.
+inline constexpr int kAnnouncementLags = 2;
 // An outage of the store takes seconds. What was announced and never came true
 // is believed no longer than this.
 inline constexpr Duration kLongestAnnouncement = std::chrono::seconds(30);
--- a/libs/serving/tests/balancer_test.cc
+++ b/libs/serving/tests/balancer_test.cc
@@ -54,7 +54,7 @@
 }
 
 struct World {
-  World() : balancer(DomainId("here"), 1) {}
+  World() : balancer(DomainId("here"), 1, milliseconds(3'000)) {}
 
   std::string Choose(std::int64_t ms, const RequestNeeds& needs) {
     const auto choice = balancer.Choose(At(ms), catalog, directory, needs);
--- a/libs/serving/tests/spreading_test.cc
+++ b/libs/serving/tests/spreading_test.cc
@@ -43,7 +43,7 @@
     parts.services.emplace(kService, service);
     catalog_.emplace(std::move(parts));
     for (std::size_t i = 0; i < kInstances; ++i) {
-      balancers_.emplace_back(DomainId("here"), i + 1);
+      balancers_.emplace_back(DomainId("here"), i + 1, milliseconds(3'000));
     }
     meters_.resize(kInstances);
   }
