Log whether a leader goes on after a restart of its process

Cause: 'lease_acquired' did not say why an instance leads without the wait that the separation of orders asks for. Before and after: no change in what is done; serving and edge tests pass.

--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -151,7 +151,8 @@
     return;
   }
   telemetry::Log(Event::kLeaseAcquired, "this instance orders the servers",
-                 {{"fence", std::to_string(lease_.fence())}});
+                 {{"fence", std::to_string(lease_.fence())},
+                  {"succeeds", lease_.Succeeded() ? "own_machine" : ""}});
   book_.Clear();
   unloads_.clear();
   pacer_.Reset(now);
--- a/libs/serving/include/figwell/serving/leadership.h
+++ b/libs/serving/include/figwell/serving/leadership.h
@@ -125,6 +125,8 @@
   bool Leads(TimePoint now) const;
   /** Whether this process has the key, and may lead soon. */
   bool HasKey() const { return taken_at_.has_value(); }
+  /** Whether the key was taken over from a former process of this machine. */
+  bool Succeeded() const { return succeeded_; }
   /**
    * Grows with each taking of the key, by whomever: the fencing token of
    * orders.
@@ -140,8 +142,8 @@
   void LoseLease(TimePoint now);
   bool WantsKey() const;
   TakeKey MakeTakeKey() const;
-  /** @param at_once whether a former process of this machine has led */
-  void NoteTaken(TimePoint now, store::Revision revision, bool at_once);
+  /** @param succeeded whether a former process of this machine has led */
+  void NoteTaken(TimePoint now, store::Revision revision, bool succeeded);
   void OnMarked(TimePoint now,
                 const Result<std::optional<store::Revision>>& marked);
   /** Whether the holder is this machine, with this process or a former one. */
@@ -159,6 +161,7 @@
   std::optional<TimePoint> taken_at_;
   /** When orders may leave, if the key was taken. */
   TimePoint leads_from_;
+  bool succeeded_ = false;
   store::Revision fence_ = 0;
   /** The last write of the key by this process, as far as known. */
   store::Revision written_ = 0;
--- a/libs/serving/src/leadership.cc
+++ b/libs/serving/src/leadership.cc
@@ -50,11 +50,12 @@
 }
 
 void PlacementLease::NoteTaken(TimePoint now, store::Revision revision,
-                               bool at_once) {
+                               bool succeeded) {
   taken_at_ = now;
   fence_ = revision;
   written_ = revision;
-  leads_from_ = at_once ? now : now + bounds_.separation + bounds_.thaw;
+  succeeded_ = succeeded;
+  leads_from_ = succeeded ? now : now + bounds_.separation + bounds_.thaw;
 }
 
 void PlacementLease::LoseLease(TimePoint now) {
@@ -137,7 +138,7 @@
   if (taken) {
     if (*taken) {
       // Counted from now: the write may have been carried out this late.
-      NoteTaken(now, **taken, /*at_once=*/self_.has_led);
+      NoteTaken(now, **taken, /*succeeded=*/self_.has_led);
     }
     vacant_ = false;
     former_.reset();
@@ -204,7 +205,7 @@
   }
   if (!taken_at_) {
     // A watch may tell of it after the key has gone.
-    NoteTaken(now, holder->mod_revision, /*at_once=*/false);
+    NoteTaken(now, holder->mod_revision, /*succeeded=*/false);
   }
   written_ = std::max(written_, holder->mod_revision);
 }
