Say once what a reading of the change found twice

- PlacementLease: the time of taking was only asked whether it is there; the time from which orders may leave says so too.
One function makes the write of the key.
- RetryAfterForMissing bounds its time through RetryAfterForLoad.
- CallerRequest asked in two places whether the model is held.
- Allowances::SetPeers changes the part itself, not by letting a microsecond pass.
- PeerGroup: one loop over the members serves those that can be reached, those that live in the own domain, and the delegates.
- Balancer::Choose: the choice of a prefix's home is a function.

Behaviour is meant to stay; no test was changed.

--- a/apps/edge/peer_group.cc
+++ b/apps/edge/peer_group.cc
@@ -159,49 +159,49 @@
   }
 }
 
-std::map<InstanceId, DomainId> PeerGroup::Reachable() const {
-  std::map<InstanceId, DomainId> reachable;
+template <typename Wanted>
+std::map<InstanceId, DomainId> PeerGroup::MembersThat(Wanted wanted) const {
+  std::map<InstanceId, DomainId> members;
   if (!node_) {
-    return reachable;
+    return members;
   }
   for (const peers::Member& member : node_->Members()) {
-    if (member.record.state != peers::MemberState::kDead &&
-        member.record.state != peers::MemberState::kLeft) {
-      reachable.emplace(member.record.instance, member.record.domain);
+    if (wanted(member.record.state)) {
+      members.emplace(member.record.instance, member.record.domain);
     }
   }
-  return reachable;
+  return members;
+}
+
+std::map<InstanceId, DomainId> PeerGroup::Reachable() const {
+  return MembersThat([](peers::MemberState state) {
+    return state != peers::MemberState::kDead &&
+           state != peers::MemberState::kLeft;
+  });
+}
+
+std::map<InstanceId, DomainId> PeerGroup::Live() const {
+  return MembersThat([](peers::MemberState state) {
+    return state == peers::MemberState::kAlive;
+  });
 }
 
 std::set<InstanceId> PeerGroup::LiveInOwnDomain() const {
   std::set<InstanceId> live;
-  if (!node_) {
-    return live;
-  }
-  for (const peers::Member& member : node_->Members()) {
-    if (member.record.state == peers::MemberState::kAlive &&
-        member.record.domain == settings_.failure_domain) {
-      live.insert(member.record.instance);
+  for (const auto& [instance, domain] : Live()) {
+    if (domain == settings_.failure_domain) {
+      live.insert(instance);
     }
   }
   return live;
 }
 
 std::map<DomainId, InstanceId> PeerGroup::Delegates() const {
+  auto live = Live();
+  live.emplace(settings_.instance, settings_.failure_domain);
   std::map<DomainId, InstanceId> delegates;
-  delegates.emplace(settings_.failure_domain, settings_.instance);
-  if (!node_) {
-    return delegates;
-  }
-  for (const peers::Member& member : node_->Members()) {
-    if (member.record.state != peers::MemberState::kAlive) {
-      continue;
-    }
-    const auto [delegate, first] =
-        delegates.emplace(member.record.domain, member.record.instance);
-    if (!first && member.record.instance < delegate->second) {
-      delegate->second = member.record.instance;
-    }
+  for (const auto& [instance, domain] : live) {
+    delegates.emplace(domain, instance);  // the first by name stays
   }
   return delegates;
 }
--- a/apps/edge/peer_group.h
+++ b/apps/edge/peer_group.h
@@ -95,6 +95,11 @@
   void SendBytes(const InstanceId& to, MessageKind kind,
                  const std::string& bytes);
   std::string SecretKey() const;
+  /** Peers in a state that `wanted` takes, with their domains. */
+  template <typename Wanted>
+  std::map<InstanceId, DomainId> MembersThat(Wanted wanted) const;
+  /** Peers that are not under suspicion, with their domains. */
+  std::map<InstanceId, DomainId> Live() const;
 
   boost::asio::io_context& context_;
   adapter::StoreClient& store_;
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -51,6 +51,8 @@
   void Attempt();
   void WaitForTarget();
   void RefuseWithoutServer();
+  /** Whether a server holds the model, with the adapter or without. */
+  bool ModelIsHeld() const;
   serving::MissingTarget Missing() const;
   void Send(const serving::Choice& choice);
   void OnError(const http::ClientError& error);
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -52,9 +52,7 @@
 
 void CallerRequest::WaitForTarget() {
   const TimePoint now = MonotonicNow();
-  const serving::ModelTarget base{needs_.target.model, {}};
-  if (!state_.balancer.SomeoneHolds(now, state_.directory, needs_.service,
-                                    base)) {
+  if (!ModelIsHeld()) {
     RefuseWithoutServer();
     return;
   }
@@ -77,6 +75,12 @@
       });
 }
 
+bool CallerRequest::ModelIsHeld() const {
+  return state_.balancer.SomeoneHolds(MonotonicNow(), state_.directory,
+                                      needs_.service,
+                                      {needs_.target.model, {}});
+}
+
 void CallerRequest::RefuseWithoutServer() {
   if (may_have_run_) {
     FailRequest(adapter::FailureReason::kBroken, "no other server");
@@ -92,11 +96,9 @@
 
 serving::MissingTarget CallerRequest::Missing() const {
   serving::MissingTarget missing;
-  const serving::ModelTarget base{needs_.target.model, {}};
   const serving::ModelSpec* model =
       catalog_->FindModel(needs_.service, needs_.target.model);
-  if (!state_.balancer.SomeoneHolds(MonotonicNow(), state_.directory,
-                                    needs_.service, base)) {
+  if (!ModelIsHeld()) {
     missing.load_time = model == nullptr ? kUnknownLoadTime : model->load_time;
   }
   if (!needs_.target.model.empty() && !placement_.leader()) {
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -186,6 +186,12 @@
   /** Whether an announcement goes before what the registry says. */
   bool Prevails(TimePoint now, const ServerState& state,
                 const Announced& announced) const;
+  /**
+   * The candidate that all instances of this domain send the request's shared
+   * prefix to, so that one server keeps it; null if it has none.
+   */
+  const BackendServer* Home(const std::vector<const BackendServer*>& candidates,
+                            const RequestNeeds& needs) const;
   PeerLoad LoadOfPeers(TimePoint now, const ServerId& server) const;
   Choice Estimate(TimePoint now, const Catalog& catalog,
                   const BackendServer& server, const RequestNeeds& needs,
--- a/libs/serving/include/figwell/serving/leadership.h
+++ b/libs/serving/include/figwell/serving/leadership.h
@@ -124,7 +124,7 @@
   /** Whether an order may leave at this moment. */
   bool Leads(TimePoint now) const;
   /** Whether this process has the key, and may lead soon. */
-  bool HasKey() const { return taken_at_.has_value(); }
+  bool HasKey() const { return leads_from_.has_value(); }
   /** Whether the key was taken over from a former process of this machine. */
   bool Succeeded() const { return succeeded_; }
   /**
@@ -141,7 +141,7 @@
   bool LeaseHolds(TimePoint now) const;
   void LoseLease(TimePoint now);
   bool WantsKey() const;
-  TakeKey MakeTakeKey() const;
+  TakeKey MakeTakeKey(store::Revision expected) const;
   /** @param succeeded whether a former process of this machine has led */
   void NoteTaken(TimePoint now, store::Revision revision, bool succeeded);
   void OnMarked(TimePoint now,
@@ -158,9 +158,8 @@
   Duration takeover_delay_{0};
   store::LeaseId lease_ = 0;
   TimePoint renewed_;
-  std::optional<TimePoint> taken_at_;
-  /** When orders may leave, if the key was taken. */
-  TimePoint leads_from_;
+  /** When orders may leave; only while this process has the key. */
+  std::optional<TimePoint> leads_from_;
   bool succeeded_ = false;
   store::Revision fence_ = 0;
   /** The last write of the key by this process, as far as known. */
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -91,10 +91,8 @@
 
 Duration RetryAfterForMissing(const MissingTarget& missing,
                               Duration remaining) {
-  const Duration loaded =
-      missing.orders_pause + missing.load_time + kOrderAndNews;
-  return std::max(kShortestRetryAfter,
-                  std::min(loaded, remaining / kRetryAfterPart));
+  return RetryAfterForLoad(
+      missing.orders_pause + missing.load_time + kOrderAndNews, remaining);
 }
 
 }  // namespace figwell::serving
--- a/libs/serving/src/allowance.cc
+++ b/libs/serving/src/allowance.cc
@@ -130,7 +130,7 @@
   for (const auto& [id, instances] : peers) {
     peers_[id].instances = instances;
   }
-  Advance(now + Duration{1});
+  SetPart(Part(now));
 }
 
 void Allowances::OnPeer(TimePoint now, const InstanceId& id,
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -213,6 +213,32 @@
   return cost;
 }
 
+const BackendServer* Balancer::Home(
+    const std::vector<const BackendServer*>& candidates,
+    const RequestNeeds& needs) const {
+  if (needs.prefixes.size() <= 1) {
+    return nullptr;
+  }
+  const std::string key =
+      std::to_string(needs.prefixes[needs.prefixes.size() - 2].key);
+  const bool near = std::any_of(
+      candidates.begin(), candidates.end(),
+      [&](const auto* server) { return server->domain == own_domain_; });
+  const BackendServer* home = nullptr;
+  std::uint64_t heaviest = 0;
+  for (const BackendServer* server : candidates) {
+    if (near && server->domain != own_domain_) {
+      continue;
+    }
+    const std::uint64_t weight = RendezvousWeight(key, server->id.value());
+    if (home == nullptr || weight > heaviest) {
+      home = server;
+      heaviest = weight;
+    }
+  }
+  return home;
+}
+
 std::optional<Choice> Balancer::Choose(TimePoint now, const Catalog& catalog,
                                        const Directory& directory,
                                        const RequestNeeds& needs) {
@@ -227,25 +253,7 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  const BackendServer* home = nullptr;
-  if (needs.prefixes.size() > 1) {
-    const std::string key =
-        std::to_string(needs.prefixes[needs.prefixes.size() - 2].key);
-    std::uint64_t heaviest = 0;
-    const bool near = std::any_of(
-        candidates.begin(), candidates.end(),
-        [&](const auto* server) { return server->domain == own_domain_; });
-    for (const BackendServer* server : candidates) {
-      if (near && server->domain != own_domain_) {
-        continue;
-      }
-      const std::uint64_t weight = RendezvousWeight(key, server->id.value());
-      if (home == nullptr || weight > heaviest) {
-        home = server;
-        heaviest = weight;
-      }
-    }
-  }
+  const BackendServer* home = Home(candidates, needs);
   const double usual = UsualFailures(directory, needs.service);
   std::vector<Choice> choices;
   std::vector<double> costs;
--- a/libs/serving/src/leadership.cc
+++ b/libs/serving/src/leadership.cc
@@ -34,7 +34,7 @@
 }
 
 bool PlacementLease::Leads(TimePoint now) const {
-  return !resigned_ && taken_at_ && LeaseHolds(now) && now >= leads_from_;
+  return !resigned_ && leads_from_ && LeaseHolds(now) && now >= *leads_from_;
 }
 
 bool PlacementLease::WantsKey() const {
@@ -45,13 +45,12 @@
   return holder.instance == self_.instance && holder.address == self_.address;
 }
 
-TakeKey PlacementLease::MakeTakeKey() const {
-  return {key_, self_.ToText(), lease_, former_.value_or(0)};
+TakeKey PlacementLease::MakeTakeKey(store::Revision expected) const {
+  return {key_, self_.ToText(), lease_, expected};
 }
 
 void PlacementLease::NoteTaken(TimePoint now, store::Revision revision,
                                bool succeeded) {
-  taken_at_ = now;
   fence_ = revision;
   written_ = revision;
   succeeded_ = succeeded;
@@ -60,7 +59,7 @@
 
 void PlacementLease::LoseLease(TimePoint now) {
   lease_ = 0;
-  taken_at_.reset();
+  leads_from_.reset();
   unsure_ = false;
   self_.has_led = false;
   next_call_ = now;
@@ -75,13 +74,13 @@
     call_sent_ = now;
     return action;
   };
-  if (!taken_at_ && !unsure_ && !WantsKey()) {
+  if (!HasKey() && !unsure_ && !WantsKey()) {
     lease_ = 0;  // it runs out by itself
     return std::nullopt;
   }
   // With the key, only the store can say whether the lease has ended: its time
   // may have stood still during an outage.
-  if (lease_ != 0 && !taken_at_ && !unsure_ && now >= renewed_ + kTtl) {
+  if (lease_ != 0 && !HasKey() && !unsure_ && now >= renewed_ + kTtl) {
     LoseLease(now);
   }
   if (lease_ == 0) {
@@ -94,13 +93,13 @@
   if (unsure_) {
     return send(Call::kRead, ReadKey{key_});
   }
-  if (WantsKey() && !taken_at_) {
+  if (WantsKey() && !HasKey()) {
     self_.has_led = former_.has_value();
-    return send(Call::kTake, MakeTakeKey());
+    return send(Call::kTake, MakeTakeKey(former_.value_or(0)));
   }
   if (Leads(now) && !self_.has_led) {
     self_.has_led = true;
-    return send(Call::kMark, TakeKey{key_, self_.ToText(), lease_, written_});
+    return send(Call::kMark, MakeTakeKey(written_));
   }
   return std::nullopt;
 }
@@ -186,24 +185,24 @@
 
 void PlacementLease::OnHolder(TimePoint now,
                               const std::optional<store::KeyValue>& holder) {
-  if (!vacant_ && !holder && !taken_at_) {
+  if (!vacant_ && !holder && !HasKey()) {
     next_call_ = std::max(next_call_, now + takeover_delay_);
   }
   vacant_ = !holder.has_value();
   former_.reset();
   const Holder named = holder ? Holder::FromText(holder->value) : Holder{};
   if (!holder || !IsThisMachine(named)) {
-    taken_at_.reset();
+    leads_from_.reset();
     return;
   }
   if (named.incarnation != self_.incarnation) {
-    taken_at_.reset();
+    leads_from_.reset();
     if (named.has_led) {
       former_ = holder->mod_revision;
     }
     return;
   }
-  if (!taken_at_) {
+  if (!HasKey()) {
     // A watch may tell of it after the key has gone.
     NoteTaken(now, holder->mod_revision, /*succeeded=*/false);
   }
