Let servers leave and pause by their own word; bound what is held of answers

Cause: a head's Server-Leaving and a 503's Retry-After were not decoded, so a server that left got requests until its entry changed (15 of 15 after 2.1 s), and one that asked for a pause got 67 inside it. Bodies were appended without a bound (497 to 549 MB for endless ones), interim answers and answers of other requests extended a head's time for ever, and a stream that sent a byte now and then lasted until its caller's deadline.

What is held of answers is bounded for one and for all; a larger vouched-for answer is passed on with back pressure, all else ends the attempt. A stream without a whole event for longer than callers wait counts as stalled. A call has one time for its head. Answers to callers' requests are not taken for answers to reports and orders, which share their connections. An exception ends what threw it only.

A rejection no longer teaches the reading speed: a quick 503 counted as a prompt read in no time.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -167,6 +167,10 @@
       stop_timer_(context_),
       duty_(settings.instance) {
   state_.report_soon = [this] { SendStatusSoon(); };
+  state_.on_server_leaving = [this](const ServerId& id,
+                                    std::int64_t started_ms) {
+    OnServerLeaving(id, started_ms, std::nullopt);
+  };
 }
 
 Result<void> Edge::Listen() {
@@ -208,12 +212,26 @@
   TickStatus();
   TickDemand();
   CheckSettingsFile();
-  context_.run();
+  RunUntilStopped();
   telemetry::Log(Event::kStopped, {},
                  {{"cut_off", std::to_string(state_.active_requests)}});
   return 0;
 }
 
+void Edge::RunUntilStopped() {
+  while (true) {
+    try {
+      context_.run();
+      return;
+    } catch (const std::exception& error) {
+      // What one message or request brought about ends with it; the rest goes
+      // on.
+      state_.metrics.GetCounter("figwell_unexpected_errors_total").Add();
+      telemetry::Log(Event::kUnexpectedError, error.what());
+    }
+  }
+}
+
 void Edge::ApplyLimits(const serving::CallerLimits& configured) {
   callers_.SetLimits(LimitsFor(configured));
 }
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -26,6 +26,8 @@
  private:
   // edge.cc
   Result<void> Listen();
+  /** Runs the event loop; an exception ends only what threw it. */
+  void RunUntilStopped();
   void OnCallerRequest(http::ExchangePtr exchange);
   void ApplyLimits(const serving::CallerLimits& configured);
   void OnReadyRequest(const http::ExchangePtr& exchange);
@@ -51,6 +53,9 @@
   void OnBehind(const SharedView& view);
   void OnServerEntries(const std::vector<serving::LoggedEntry>& entries);
   void OnServerChange(const ServerId& id, serving::ServerChange change);
+  /** A server said that it leaves, here or to the peer named `from`. */
+  void OnServerLeaving(const ServerId& id, std::int64_t started_ms,
+                       const std::optional<InstanceId>& from);
   void OnInstanceEntries(const std::vector<serving::LoggedEntry>& entries);
   void NoteInstance(const serving::LoggedEntry& entry);
 
@@ -61,6 +66,8 @@
   void OnDomainStatus(const InstanceId& from,
                       const DomainStatusMessage& message);
   void OnPlacements(const InstanceId& from, const PlacementMessage& message);
+  void TellOfLeaving(const ServerLeavingMessage& message,
+                     const std::optional<InstanceId>& from);
   /** The loads that a sender told of, with this part of its message. */
   const std::map<ServerId, serving::PeerLoad>& TakeLoads(
       const InstanceId& from, const StatusMessage& status);
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -61,6 +61,11 @@
         ViewOf(changes->view).OnChanges(changes->changes);
       }
       return;
+    case MessageKind::kServerLeaving:
+      if (const auto leaving = peers::Unpack<ServerLeavingMessage>(bytes)) {
+        OnServerLeaving(ServerId(leaving->server), leaving->started_ms, from);
+      }
+      return;
     case MessageKind::kAdapterWanted:
       if (const auto wanted = peers::Unpack<AdapterWantedMessage>(bytes)) {
         placement_.OnAdapterWanted(*wanted);
@@ -85,6 +90,26 @@
                  {{"from", from.value()}, {"items", text}});
 }
 
+void Edge::TellOfLeaving(const ServerLeavingMessage& message,
+                         const std::optional<InstanceId>& from) {
+  const DomainId& own = state_.settings.failure_domain;
+  const auto reachable = peers_.Reachable();
+  const bool from_own_domain =
+      from && reachable.contains(*from) && reachable.at(*from) == own;
+  if (from_own_domain) {
+    return;  // it has told the whole domain
+  }
+  peers_.SendToOwnDomain(MessageKind::kServerLeaving, message);
+  if (from) {
+    return;
+  }
+  for (const auto& [domain, delegate] : peers_.Delegates()) {
+    if (domain != own) {
+      peers_.Send(delegate, MessageKind::kServerLeaving, message);
+    }
+  }
+}
+
 const std::map<ServerId, serving::PeerLoad>& Edge::TakeLoads(
     const InstanceId& from, const StatusMessage& status) {
   auto& loads = told_loads_[from];
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -171,6 +171,23 @@
   }
 }
 
+void Edge::OnServerLeaving(const ServerId& id, std::int64_t started_ms,
+                           const std::optional<InstanceId>& from) {
+  const serving::ServerChange change =
+      state_.directory.NoteLeaving(MonotonicNow(), id, started_ms);
+  if (change == serving::ServerChange::kUnchanged) {
+    return;
+  }
+  state_.metrics.GetCounter("figwell_servers_leaving_total").Add();
+  telemetry::Log(Event::kServerLeaving,
+                 from ? "a peer says so" : "the server says so",
+                 {{"server", id.value()},
+                  {"from", from ? from->value() : ""},
+                  {"started_ms", std::to_string(started_ms)}});
+  OnServerChange(id, change);
+  TellOfLeaving({id.value(), started_ms}, from);
+}
+
 // ---------------------------------------------------------------- instances
 
 void Edge::OnInstanceEntries(const std::vector<serving::LoggedEntry>& entries) {
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -20,6 +20,7 @@
   kDomainStatus = 5,
   kChangesWanted = 6,
   kChanges = 7,
+  kServerLeaving = 8,
 };
 
 /** What a sender has under way at one server. */
@@ -174,6 +175,23 @@
 /** Items that fit into one message with names of 24 bytes. */
 inline constexpr std::size_t kPlacementItems = 10;
 
+/**
+ * A server said in an answer that it leaves. Goes to the own domain and to the
+ * other domains' delegates, which pass it on if it is news to them.
+ */
+struct ServerLeavingMessage {
+  std::string server;
+  std::int64_t started_ms = 0;
+
+  friend bool operator==(const ServerLeavingMessage&,
+                         const ServerLeavingMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(server, started_ms);
+  }
+};
+
 /** A request waits for an adapter that no server holds. */
 struct AdapterWantedMessage {
   std::string model;
--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "log_text.h"
+
 namespace figwell::edge {
 namespace {
 
@@ -235,7 +237,7 @@
   for (const auto& [id, entry] : state_.directory.entries()) {
     const serving::BackendServer& server = entry.server;
     if (server.service == service && !server.draining &&
-        book_.WantsReport(now, id)) {
+        !state_.balancer.IsPaused(now, id) && book_.WantsReport(now, id)) {
       book_.OnReportAsked(now, id);
       ReadReport(server);
     }
@@ -248,9 +250,12 @@
   limits.piece_timeout = kReportTimeout;
   client_.Fetch(
       server.address, adapter::MakeReportRequest(server.id), limits,
-      [this, id = server.id](
+      [this, id = server.id, started_ms = server.started_ms](
           const tl::expected<http::Response, http::ClientError>& response) {
         const TimePoint now = MonotonicNow();
+        if (response) {
+          NoteServerState(id, started_ms, *response);
+        }
         const auto report =
             response ? adapter::DecodeReport(*response)
                      : Result<serving::EngineReport>(Fail(
@@ -264,7 +269,23 @@
         if (const auto loaded = book_.OnReport(now, id, *report)) {
           Announce(id, {*loaded, {}}, true);
         }
-      });
+      },
+      adapter::AnswersOwnCall);
+}
+
+void PlacementHost::NoteServerState(const ServerId& server,
+                                    std::int64_t started_ms,
+                                    const http::Response& response) {
+  const adapter::AnswerHead head =
+      adapter::ReadAnswer({}, response.status, response.headers);
+  if (head.leaving) {
+    state_.on_server_leaving(server, started_ms);
+  }
+  if (head.pause) {
+    state_.balancer.OnPause(MonotonicNow(), server, *head.pause);
+    telemetry::Log(Event::kServerPaused, {},
+                   {{"server", server.value()}, {"pause_ms", Ms(*head.pause)}});
+  }
 }
 
 // ----------------------------------------------------------------- planning
@@ -285,8 +306,9 @@
       engine.at_hand = view->at_hand;
       engine.loading = view->loading;
       engine.loads = !view->unloading;
-      engine.orderable =
-          book_.Orderable(now, id) != nullptr && !unloads_.contains(id);
+      engine.orderable = book_.Orderable(now, id) != nullptr &&
+                         !unloads_.contains(id) &&
+                         !state_.balancer.IsPaused(now, id);
     }
     if (const auto unload = unloads_.find(id); unload != unloads_.end()) {
       const serving::ModelTarget& target = unload->second.move.target;
--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -66,7 +66,7 @@
 bool PlacementHost::SendOrder(TimePoint now, const serving::CopyMove& move) {
   const serving::BackendServer* server = state_.directory.Find(move.server);
   if (server == nullptr || book_.Orderable(now, move.server) == nullptr ||
-      !lease_.Leads(now)) {
+      state_.balancer.IsPaused(now, move.server) || !lease_.Leads(now)) {
     return false;
   }
   const serving::Order order =
@@ -85,10 +85,14 @@
       adapter::MakeOrderRequest(order, state_.settings.instance.value(),
                                 lease_.fence()),
       limits,
-      [this,
-       order](const tl::expected<http::Response, http::ClientError>& response) {
+      [this, order, started_ms = server->started_ms](
+          const tl::expected<http::Response, http::ClientError>& response) {
+        if (response) {
+          NoteServerState(order.server, started_ms, *response);
+        }
         OnOrderAnswer(order, response);
-      });
+      },
+      adapter::AnswersOwnCall);
   return true;
 }
 
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -37,7 +37,8 @@
       arrived_(MonotonicNow()),
       deadline_(arrived_ + kLongestRequest),
       deadline_timer_(state.context),
-      wait_timer_(state.context) {
+      wait_timer_(state.context),
+      stall_timer_(state.context) {
   ++state_.active_requests;
 }
 
@@ -226,6 +227,8 @@
   done_ = true;
   deadline_timer_.cancel();
   wait_timer_.cancel();
+  stall_timer_.cancel();
+  ReleaseHeld(held_);
   caller_->OnClosed(nullptr);
   state_.metrics
       .GetCounter(
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -19,6 +19,7 @@
  *   Start     route, team, rate                      request.cc
  *   Attempt   chooses a server, sends, tries again   request_attempt.cc
  *   OnHead..  relays whole answers and streams       request_relay.cc
+ *   OnStall.. ends streams that stall                request_stall.cc
  */
 class CallerRequest : public std::enable_shared_from_this<CallerRequest> {
  public:
@@ -50,6 +51,8 @@
   // request_attempt.cc
   void Attempt();
   void WaitForTarget();
+  /** Refuses a request whose servers have all asked for a pause. */
+  bool RefuseWhilePaused();
   void RefuseWithoutServer();
   /** Whether a server holds the model, with the adapter or without. */
   bool ModelIsHeld() const;
@@ -61,10 +64,23 @@
                   std::string_view detail);
   void GiveUp(serving::Progress progress, std::string_view detail);
 
+  // request_stall.cc
+  void WatchForStall();
+  void OnStallCheck(TimePoint planned);
+
   // request_relay.cc
   void OnHead(int status, const http::Headers& headers);
   void OnPiece(std::string_view piece, std::function<void()> resume);
   void OnStreamPiece(std::string_view piece, std::function<void()> resume);
+  void OnWholePiece(std::string_view piece, std::function<void()> resume);
+  void NoteServerState();
+  /** Whether so many bytes more may be kept of the present answer. */
+  bool Hold(std::size_t bytes);
+  void ReleaseHeld(std::size_t bytes);
+  /** Writes a piece to the caller; `resume` follows once it is written. */
+  void PassOn(std::string bytes, std::function<void()> resume);
+  /** Whether the server vouches for the answer, as far as its head says. */
+  bool IsVouchedFor() const;
   void OnEnd();
   void OnWholeAnswer();
   void OnStreamEnd();
@@ -89,6 +105,7 @@
   serving::RequestNeeds needs_;
   boost::asio::steady_timer deadline_timer_;
   boost::asio::steady_timer wait_timer_;
+  boost::asio::steady_timer stall_timer_;
   TimePoint wait_until_;
   bool waiting_ = false;
 
@@ -107,8 +124,19 @@
   adapter::AnswerHead answer_;
   http::Headers answer_headers_;
   std::string body_;
+  /** Bytes that count in State::held_answers. */
+  std::size_t held_ = 0;
+  /** Bytes of a rejection that were not kept. */
+  std::size_t dropped_ = 0;
   bool streaming_ = false;
+  /** A part of some answer has gone to the caller. */
   bool relaying_ = false;
+  /** The present answer is no stream, and too large to be held whole. */
+  bool passing_on_ = false;
+  /** A piece is being written to the caller. */
+  bool caller_reads_ = false;
+  /** When the last whole event was passed on, or the request was sent. */
+  TimePoint progress_at_;
   bool first_byte_ = false;
   Duration first_byte_after_{0};
   std::optional<std::uint64_t> last_event_;
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -30,6 +30,9 @@
   const auto choice =
       state_.balancer.Choose(now, *catalog_, state_.directory, needs_);
   if (!choice) {
+    if (RefuseWhilePaused()) {
+      return;
+    }
     if (sends_ == 0 && !needs_.target.adapter.empty()) {
       WaitForTarget();
     } else {
@@ -75,6 +78,18 @@
       });
 }
 
+bool CallerRequest::RefuseWhilePaused() {
+  const TimePoint now = MonotonicNow();
+  const auto free = state_.balancer.FirstFree(now, state_.directory, needs_);
+  if (may_have_run_ || !free) {
+    return false;
+  }
+  const Duration wait = std::max(*free - now, serving::kShortestRetryAfter);
+  Refuse(serving::RefusalReason::kPaused, wait,
+         fmt::format("sends {} first free in {}", sends_, Ms(*free - now)));
+  return true;
+}
+
 bool CallerRequest::ModelIsHeld() const {
   return state_.balancer.SomeoneHolds(MonotonicNow(), state_.directory,
                                       needs_.service,
@@ -141,9 +156,14 @@
        {"remaining_ms", Ms(*head.remaining)},
        {"send", std::to_string(sends_)}});
   status_ = 0;
+  answer_ = {};
   body_.clear();
+  ReleaseHeld(held_);
+  dropped_ = 0;
   reader_ = {};
   streaming_ = false;
+  progress_at_ = now;
+  WatchForStall();
   http::CallLimits limits;
   // The request's own deadline ends the wait; this is only a backstop.
   limits.head_timeout =
@@ -208,7 +228,8 @@
   const bool unreached = progress == serving::Progress::kNotSent;
   unreached_ += unreached ? 1 : 0;
   const int sent_to = static_cast<int>(needs_.tried.size());
-  const bool may = Remaining().count() > 0 && unreached_ < kMostUnreached &&
+  const bool may = !passing_on_ && Remaining().count() > 0 &&
+                   unreached_ < kMostUnreached &&
                    serving::MayTryAgain(*route_, progress, sent_to);
   const bool budget =
       may && (unreached || state_.retries.TakeRetry(now, needs_.service));
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -1,6 +1,16 @@
+#include <utility>
+
+#include "log_text.h"
 #include "request.h"
 
 namespace figwell::edge {
+namespace {
+
+// A rejection says all in its head; a server that sends more of a body than
+// this gets its connection closed. Bytes.
+constexpr std::size_t kMostDropped = 16'384;
+
+}  // namespace
 
 void CallerRequest::OnHead(int status, const http::Headers& headers) {
   if (done_) {
@@ -10,16 +20,50 @@
   status_ = status;
   answer_headers_ = headers;
   answer_ = adapter::ReadAnswer(head_.id, status, headers);
-  if (answer_.load) {
-    state_.balancer.OnReportedLoad(now, choice_.server, *answer_.load);
-  }
+  NoteServerState();
   streaming_ = route_->kind == serving::RequestKind::kStreaming &&
                IsSuccess() && answer_.sealed && answer_.named;
-  if (!streaming_ && attempt_) {
+  if (!streaming_ && IsSuccess() && attempt_) {
     state_.balancer.OnFirstByte(now, *attempt_);
   }
 }
 
+void CallerRequest::NoteServerState() {
+  const TimePoint now = MonotonicNow();
+  if (answer_.load) {
+    state_.balancer.OnReportedLoad(now, choice_.server, *answer_.load);
+  }
+  if (answer_.leaving) {
+    state_.on_server_leaving(choice_.server, choice_.started_ms);
+  }
+  if (answer_.pause) {
+    state_.balancer.OnPause(now, choice_.server, *answer_.pause);
+    state_.metrics.GetCounter("figwell_server_pauses_total").Add();
+    telemetry::Log(telemetry::Event::kServerPaused, {},
+                   {{"request", head_.id.value()},
+                    {"server", choice_.server.value()},
+                    {"pause_ms", Ms(*answer_.pause)}});
+  }
+}
+
+bool CallerRequest::Hold(std::size_t bytes) {
+  if (!state_.held_answers.Take(held_, bytes)) {
+    return false;
+  }
+  held_ += bytes;
+  return true;
+}
+
+void CallerRequest::ReleaseHeld(std::size_t bytes) {
+  state_.held_answers.Release(bytes);
+  held_ -= bytes;
+}
+
+bool CallerRequest::IsVouchedFor() const {
+  return answer_.sealed && answer_.named &&
+         !answer_headers_.Contains("Content-Encoding");
+}
+
 void CallerRequest::OnPiece(std::string_view piece,
                             std::function<void()> resume) {
   if (done_) {
@@ -27,10 +71,45 @@
   }
   if (streaming_) {
     OnStreamPiece(piece, std::move(resume));
+  } else {
+    OnWholePiece(piece, std::move(resume));
+  }
+}
+
+void CallerRequest::OnWholePiece(std::string_view piece,
+                                 std::function<void()> resume) {
+  if (answer_.not_run) {
+    dropped_ += piece.size();
+    if (dropped_ > kMostDropped) {
+      OnRejected(status_);
+      return;
+    }
+    resume();
+    return;
+  }
+  if (passing_on_) {
+    PassOn(std::string(piece), std::move(resume));
+    return;
+  }
+  if (Hold(piece.size())) {
+    body_ += piece;
+    resume();
     return;
   }
+  if (!IsVouchedFor() || relaying_) {
+    EndAttempt(
+        relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
+        serving::AttemptEnd::kBroken, "more bytes than are held of an answer");
+    return;
+  }
+  // From here on the answer can no longer be taken back: if it breaks off, so
+  // does the caller's.
+  passing_on_ = true;
+  NoteFirstByte();
+  StartRelay();
   body_ += piece;
-  resume();
+  ReleaseHeld(held_);
+  PassOn(std::exchange(body_, {}), std::move(resume));
 }
 
 void CallerRequest::StartRelay() {
@@ -40,18 +119,35 @@
   }
 }
 
+void CallerRequest::PassOn(std::string bytes, std::function<void()> resume) {
+  caller_reads_ = true;
+  caller_->Write(std::move(bytes), [weak = weak_from_this(),
+                                    resume = std::move(resume)](bool written) {
+    const auto self = weak.lock();
+    if (self && written && !self->done_) {
+      self->caller_reads_ = false;
+      self->progress_at_ = MonotonicNow();
+      resume();
+    }
+  });
+}
+
 void CallerRequest::OnStreamPiece(std::string_view piece,
                                   std::function<void()> resume) {
   if (attempt_) {
     state_.balancer.OnFirstByte(MonotonicNow(), *attempt_);
   }
   auto events = reader_.Take(piece);
-  if (!events) {
+  ReleaseHeld(held_);
+  if (!events || !Hold(reader_.pending())) {
     EndAttempt(
         relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
-        serving::AttemptEnd::kBroken, events.error().message);
+        serving::AttemptEnd::kBroken, "an event is too large");
     return;
   }
+  if (!events->empty()) {
+    progress_at_ = MonotonicNow();
+  }
   std::string relayed;
   for (const http::StreamEvent& event : *events) {
     if (event.number && last_event_ && *event.number <= *last_event_) {
@@ -69,14 +165,7 @@
   }
   NoteFirstByte();
   StartRelay();
-  caller_->Write(
-      std::move(relayed),
-      [weak = weak_from_this(), resume = std::move(resume)](bool written) {
-        const auto self = weak.lock();
-        if (self && written && !self->done_) {
-          resume();
-        }
-      });
+  PassOn(std::move(relayed), std::move(resume));
 }
 
 void CallerRequest::OnEnd() {
@@ -84,7 +173,7 @@
   if (done_) {
     return;
   }
-  if (streaming_) {
+  if (streaming_ || passing_on_) {
     OnStreamEnd();
   } else {
     OnWholeAnswer();
@@ -111,10 +200,7 @@
     OnRejected(status_);
     return;
   }
-  const bool whole = answer_.sealed && answer_.named &&
-                     !answer_headers_.Contains("Content-Encoding") &&
-                     !relaying_;
-  if (!whole) {
+  if (!IsVouchedFor() || relaying_) {
     EndAttempt(
         relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
         serving::AttemptEnd::kBroken, "not the server's whole answer");
--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -22,6 +22,8 @@
                  settings.bounds.registry_lag),
         retries({settings.bounds.retry_ratio, settings.bounds.retry_window,
                  settings.bounds.retry_allowance}),
+        held_answers({settings.bounds.held_answer_bytes,
+                      settings.bounds.held_answers_bytes}),
         random(StableHash(RandomHex(8))) {}
 
   boost::asio::io_context& context;
@@ -34,10 +36,14 @@
   serving::Allowances allowances;
   serving::RetryBudget retries;
   serving::DemandMeter demand;
+  serving::HeldBytes held_answers;
   /** Of the whole system, this one among them. */
   std::size_t instances = 1;
   Random random;
   std::size_t active_requests = 0;
+  /** Tells the peers that a start of a server leaves. */
+  std::function<void(const ServerId&, std::int64_t started_ms)>
+      on_server_leaving;
   /** Tells the peers of this instance's charges before the next interval. */
   std::function<void()> report_soon;
 };
--- a/libs/config/include/figwell/config/edge_settings.h
+++ b/libs/config/include/figwell/config/edge_settings.h
@@ -32,6 +32,13 @@
   /** How long a process may go on after SIGTERM. */
   std::chrono::milliseconds stop_grace{8'000};
 
+  /**
+   * Bytes that are held of one answer, and of all, before they are passed on.
+   * All together are a twentieth of the smallest machine's 160 MB.
+   */
+  std::size_t held_answer_bytes = 262'144;
+  std::size_t held_answers_bytes = 8'388'608;
+
   friend bool operator==(const EdgeBounds&, const EdgeBounds&) = default;
 };
 
--- a/libs/config/src/edge_settings.cc
+++ b/libs/config/src/edge_settings.cc
@@ -46,6 +46,18 @@
   return milliseconds(std::llround(count * per_unit));
 }
 
+std::size_t ReadBytes(MappingReader& reader, const std::string& name,
+                      std::size_t fallback) {
+  // A terabyte: far beyond any machine, and exact as a double.
+  constexpr double kMostBytes = 1e12;
+  const double bytes = ReadNumber(reader, name, static_cast<double>(fallback));
+  if (bytes < 1 || bytes > kMostBytes) {
+    reader.Report(name, "must be a number of bytes");
+    return fallback;
+  }
+  return static_cast<std::size_t>(bytes);
+}
+
 EdgeBounds ReadBounds(MappingReader reader) {
   EdgeBounds bounds;
   bounds.order_separation = ReadTime(reader, "order_separation_ms",
@@ -65,6 +77,10 @@
       ReadTime(reader, "registry_lag_s", kSecond, bounds.registry_lag);
   bounds.stop_grace =
       ReadTime(reader, "stop_grace_s", kSecond, bounds.stop_grace);
+  bounds.held_answer_bytes =
+      ReadBytes(reader, "held_answer_bytes", bounds.held_answer_bytes);
+  bounds.held_answers_bytes =
+      ReadBytes(reader, "held_answers_bytes", bounds.held_answers_bytes);
   reader.ReportUnknownFields();
   return bounds;
 }
--- a/libs/config/tests/edge_settings_test.cc
+++ b/libs/config/tests/edge_settings_test.cc
@@ -22,6 +22,7 @@
   drain_notice_ms: 3000
   retry_window_s: 2.5
   registry_lag_s: 5
+  held_answer_bytes: 4096
   stop_grace_s:
 )";
 
@@ -36,6 +37,8 @@
   CHECK(settings->bounds.retry_window == std::chrono::milliseconds(2'500));
   CHECK(settings->bounds.registry_lag == std::chrono::milliseconds(5'000));
   CHECK(settings->bounds.stop_grace == EdgeBounds().stop_grace);
+  CHECK(settings->bounds.held_answer_bytes == 4'096);
+  CHECK(settings->bounds.held_answers_bytes == EdgeBounds().held_answers_bytes);
   CHECK(settings->store_prefix == "figwell/");
   CHECK(settings->store_history == std::chrono::seconds(30));
 }
@@ -43,7 +46,8 @@
 TEST_CASE("every fault of an edge's settings is reported with its place") {
   const auto settings = ParseEdgeSettings(
       "instance: a\nlisten:\n  callers: nowhere\nbounds:\n"
-      "  retry_ratio: much\n  stop_grace_s: -1\nwhat: 1\n",
+      "  retry_ratio: much\n  stop_grace_s: -1\n  held_answer_bytes: 0\n"
+      "what: 1\n",
       "edge.yaml");
   REQUIRE_FALSE(settings);
   std::string places;
@@ -52,7 +56,8 @@
   }
   for (const char* place :
        {"failure_domain", "listen.callers", "listen.ready", "store.address",
-        "bounds.retry_ratio", "bounds.stop_grace_s", "what"}) {
+        "bounds.retry_ratio", "bounds.stop_grace_s", "bounds.held_answer_bytes",
+        "what"}) {
     INFO(places);
     CHECK(places.find(place) != std::string::npos);
   }
--- a/libs/http/include/figwell/http.h
+++ b/libs/http/include/figwell/http.h
@@ -318,10 +318,14 @@
   CallId Send(const std::string& address, const Request& request,
               CallLimits limits, ResponseHandlers handlers);
 
-  /** Sends a request and collects the whole answer. */
+  /**
+   * Sends a request and collects the whole answer.
+   * @param belongs see ResponseHandlers
+   */
   CallId Fetch(
       const std::string& address, const Request& request, CallLimits limits,
-      const std::function<void(tl::expected<Response, ClientError>)>& on_done);
+      const std::function<void(tl::expected<Response, ClientError>)>& on_done,
+      std::function<bool(const Headers&)> belongs = nullptr);
 
   /** Drops a call and closes its connection; none of its handlers run. */
   void Cancel(CallId call);
--- a/libs/http/src/call.cc
+++ b/libs/http/src/call.cc
@@ -31,6 +31,11 @@
 // server counts from its own last byte.
 constexpr std::chrono::milliseconds kKeepAliveMargin{700};
 
+// What a server may send before the answer that is waited for: interim answers,
+// and late copies of answers to earlier requests on the connection.
+constexpr int kMostIdleHeads = 16;
+constexpr std::size_t kMostForeignBytes = 1'048'576;
+
 // The lifetime that a Keep-Alive field gives a connection.
 std::optional<std::chrono::milliseconds> KeptFor(std::string_view field) {
   constexpr std::string_view kName = "timeout=";
@@ -124,6 +129,7 @@
   if (!error) {
     request_bytes_.clear();
     request_bytes_.shrink_to_fit();
+    head_deadline_ = IdlePool::Clock::now() + limits_.head_timeout;
     ReadHead();
     return;
   }
@@ -142,7 +148,7 @@
       static_cast<std::uint32_t>(pool_->limits().header_bytes));
   parser_->body_limit(boost::none);
   parser_->skip(is_head_request_);
-  stream_->expires_after(limits_.head_timeout);
+  stream_->expires_at(head_deadline_);
   beast::http::async_read_header(
       *stream_, buffer_, *parser_,
       [self = shared_from_this()](ErrorCode error, std::size_t) {
@@ -150,6 +156,14 @@
       });
 }
 
+void Call::ReadNextHead() {
+  if (++idle_heads_ > kMostIdleHeads) {
+    Fail(Stage::kHead, {}, "too many heads that answer nothing");
+    return;
+  }
+  ReadHead();
+}
+
 void Call::OnHead(ErrorCode error) {
   if (finished_) {
     return;
@@ -162,7 +176,7 @@
   const auto& message = parser_->get();
   const int status = static_cast<int>(message.result_int());
   if (status / 100 == 1) {
-    ReadHead();
+    ReadNextHead();
     return;
   }
   if (!parser_->is_done() && parser_->need_eof() && !limits_.allow_unframed) {
@@ -186,7 +200,7 @@
     return;
   }
   if (parser_->is_done() && foreign_) {
-    ReadHead();
+    ReadNextHead();
   } else if (parser_->is_done()) {
     End();
   } else {
@@ -199,7 +213,11 @@
   body.data = piece_.data();
   body.size = piece_.size();
   body.more = true;
-  stream_->expires_after(limits_.piece_timeout);
+  if (foreign_) {
+    stream_->expires_at(head_deadline_);
+  } else {
+    stream_->expires_after(limits_.piece_timeout);
+  }
   beast::http::async_read_some(
       *stream_, buffer_, *parser_,
       [self = shared_from_this()](ErrorCode error, std::size_t) {
@@ -217,6 +235,11 @@
     Fail(Stage::kBody, error, "the answer ended early");
     return;
   }
+  foreign_bytes_ += foreign_ ? filled : 0;
+  if (foreign_bytes_ > kMostForeignBytes) {
+    Fail(Stage::kHead, {}, "too many bytes of other answers");
+    return;
+  }
   if (filled == 0 || foreign_) {
     Continue();
     return;
--- a/libs/http/src/call.h
+++ b/libs/http/src/call.h
@@ -83,6 +83,8 @@
   void WriteRequest();
   void OnWritten(ErrorCode error, std::size_t bytes);
   void ReadHead();
+  /** Reads the next head, if not too many came that answer nothing. */
+  void ReadNextHead();
   void OnHead(ErrorCode error);
   void ReadPiece();
   void OnPiece(ErrorCode error);
@@ -108,6 +110,11 @@
   bool foreign_ = false;
   /** An answer to another request came on this connection. */
   bool saw_foreign_ = false;
+  /** Heads that answer nothing: interim ones, and those of other requests. */
+  int idle_heads_ = 0;
+  /** Bytes of bodies that belong to other requests. */
+  std::size_t foreign_bytes_ = 0;
+  IdlePool::Clock::time_point head_deadline_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::array<char, kPieceBytes> piece_{};
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -53,10 +53,12 @@
 
 CallId Client::Fetch(
     const std::string& address, const Request& request, CallLimits limits,
-    const std::function<void(tl::expected<Response, ClientError>)>& on_done) {
+    const std::function<void(tl::expected<Response, ClientError>)>& on_done,
+    std::function<bool(const Headers&)> belongs) {
   const auto collected = std::make_shared<Collected>();
   const auto id = std::make_shared<CallId>(0);
   ResponseHandlers handlers;
+  handlers.belongs = std::move(belongs);
   handlers.on_head = [collected](int status, const Headers& headers) {
     collected->response.status = status;
     collected->response.headers = headers;
--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -12,6 +12,7 @@
  *   affinity.h     PromptIndex: which prompt prefixes a server has cached
  *   balancer.h     Balancer: chooses the server for a request
  *   admission.h    whether a request can still be on time, and Retry-After
+ *   held_bytes.h   HeldBytes: memory for answers on their way
  *   allowance.h    Allowances: teams' rates and bursts over all instances
  *   summary.h      DomainSummary: what a domain's instances do together
  *   attempts.h     RetryBudget, and what may follow a failed attempt
@@ -32,6 +33,7 @@
 #include "figwell/serving/demand.h"
 #include "figwell/serving/directory.h"
 #include "figwell/serving/follow_duty.h"
+#include "figwell/serving/held_bytes.h"
 #include "figwell/serving/leadership.h"
 #include "figwell/serving/orders.h"
 #include "figwell/serving/spreading.h"
--- a/libs/serving/include/figwell/serving/admission.h
+++ b/libs/serving/include/figwell/serving/admission.h
@@ -22,6 +22,7 @@
   kOverloaded,  ///< would not be answered before the caller's deadline
   kTimedOut,    ///< its time ended before a server took it
   kShed,        ///< every server that was asked rejected it
+  kPaused,      ///< every server that could take it has asked for a pause
 };
 
 std::string_view Name(RefusalReason reason);
--- a/libs/serving/include/figwell/serving/attempts.h
+++ b/libs/serving/include/figwell/serving/attempts.h
@@ -37,6 +37,14 @@
  */
 bool MayTryAgain(const Route& route, Progress progress, int sent_to);
 
+/**
+ * How long a stream may go without a whole event before it counts as stalled.
+ * Callers give it up after two seconds, four times the route's latency target
+ * or eight times its pause target, whichever is longest; nothing is ended
+ * before they have.
+ */
+Duration LongestGap(const Route& route);
+
 /**
  * Sends beyond a request's first, in a sliding window, as a part of the first
  * sends here plus this instance's part of a fixed allowance. All instances
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -40,6 +40,8 @@
 /** The server for an attempt, and why. */
 struct Choice {
   ServerId server;
+  /** BackendServer::started_ms of the start that was chosen. */
+  std::int64_t started_ms = 0;
   DomainId domain;
   std::string address;
   /** Time until the request's first event or answer, as estimated. */
@@ -112,10 +114,26 @@
 
   AttemptNumber OnSent(TimePoint now, const Choice& choice,
                        const RequestNeeds& needs);
-  /** The first event or the head of the answer has come. */
+  /** The first event, or the head of a successful answer, has come. */
   void OnFirstByte(TimePoint now, AttemptNumber attempt);
   void OnEnd(TimePoint now, AttemptNumber attempt, AttemptEnd end);
 
+  /**
+   * A server wants nothing from this instance for so long. It is passed by
+   * until then and a little longer, drawn at random, so that instances do not
+   * all come back at once; then it gets one request at a time until it has
+   * answered one.
+   */
+  void OnPause(TimePoint now, const ServerId& server, Duration pause);
+  /** Whether the server has asked for a pause that has not ended. */
+  bool IsPaused(TimePoint now, const ServerId& server) const;
+  /**
+   * When the first server that could take the request, were it not paused, is
+   * free again; nullopt if there is none such.
+   */
+  std::optional<TimePoint> FirstFree(TimePoint now, const Directory& directory,
+                                     const RequestNeeds& needs) const;
+
   void OnReportedLoad(TimePoint now, const ServerId& server,
                       const ReportedLoad& load);
   void OnPeerLoads(TimePoint now, const InstanceId& peer,
@@ -162,6 +180,9 @@
     int sent_since_report = 0;
     int failures_in_row = 0;
     TimePoint avoid_until;
+    TimePoint paused_until;
+    /** A pause has ended and nothing was answered since. */
+    bool returning = false;
     double failure_share = 0;
     Duration service_time{0};
     std::optional<PromptIndex> cached;
@@ -183,6 +204,11 @@
 
   bool Holds(TimePoint now, const BackendServer& server,
              const ModelTarget& target) const;
+  /** Whether the request may go there, but for a pause. */
+  bool IsCandidate(TimePoint now, const BackendServer& server,
+                   const RequestNeeds& needs) const;
+  /** Whether the server is paused, or just returning and busy. */
+  bool IsPassedBy(TimePoint now, const ServerId& server) const;
   /** Whether an announcement goes before what the registry says. */
   bool Prevails(TimePoint now, const ServerState& state,
                 const Announced& announced) const;
--- a/libs/serving/include/figwell/serving/directory.h
+++ b/libs/serving/include/figwell/serving/directory.h
@@ -50,6 +50,12 @@
  */
 inline constexpr Duration kLateLapseGrace = std::chrono::milliseconds(800);
 
+/**
+ * How long a server's word that it leaves is kept: it goes on for seconds after
+ * its notice, and its entry may lapse and come back meanwhile.
+ */
+inline constexpr Duration kLeavingMemory = std::chrono::minutes(10);
+
 /** What a change of the directory did to one server. */
 enum class ServerChange {
   kAppeared,
@@ -77,7 +83,14 @@
   };
 
   /** An entry was written. */
-  ServerChange Put(const BackendServer& server);
+  ServerChange Put(BackendServer server);
+  /**
+   * A server itself, or a peer that heard it, says that it leaves. It counts as
+   * draining from now on, whatever its entry says, until it starts anew.
+   * @param started_ms BackendServer::started_ms of the start that said so
+   */
+  ServerChange NoteLeaving(TimePoint now, const ServerId& id,
+                           std::int64_t started_ms);
   /** An entry was removed, or its content became unreadable. */
   ServerChange Remove(TimePoint now, const ServerId& id);
   /** The store stopped answering, or answers again. */
@@ -98,7 +111,14 @@
   /** The end of the grace for an entry that lapses now, if it has any. */
   std::optional<TimePoint> GraceEnd(TimePoint now) const;
 
+  /** A start of a server that said that it leaves. */
+  struct Leaving {
+    std::int64_t started_ms = 0;
+    TimePoint since;
+  };
+
   std::map<ServerId, Entry> entries_;
+  std::map<ServerId, Leaving> leaving_;
   bool store_away_ = false;
   std::optional<TimePoint> regained_at_;
 };
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -41,6 +41,8 @@
       return "timed_out";
     case RefusalReason::kShed:
       return "shed";
+    case RefusalReason::kPaused:
+      return "paused";
   }
   return "unknown";
 }
--- a/libs/serving/src/attempts.cc
+++ b/libs/serving/src/attempts.cc
@@ -9,6 +9,13 @@
 // windows slide.
 constexpr double kUsedPart = 0.8;
 
+// What callers wait for an event, as the platform's pages tell it.
+constexpr Duration kShortestGap = std::chrono::milliseconds(2'000);
+constexpr int kGapLatencyTargets = 4;
+constexpr int kGapPauseTargets = 8;
+// A caller that gives up is heard of within this time.
+constexpr Duration kGapMargin = std::chrono::milliseconds(500);
+
 }  // namespace
 
 std::string_view Name(Progress progress) {
@@ -43,6 +50,12 @@
   return route.Repeatable();
 }
 
+Duration LongestGap(const Route& route) {
+  return kGapMargin +
+         std::max({kShortestGap, route.latency_target * kGapLatencyTargets,
+                   route.pause_target * kGapPauseTargets});
+}
+
 RetryBudget::Window& RetryBudget::Trim(TimePoint now,
                                        const ServiceId& service) {
   Window& window = windows_[service];
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -125,6 +125,7 @@
   const PeerLoad peers = LoadOfPeers(now, server.id);
   Choice choice;
   choice.server = server.id;
+  choice.started_ms = server.started_ms;
   choice.domain = server.domain;
   choice.address = server.address;
   choice.in_flight = state.in_flight + peers.in_flight;
@@ -239,14 +240,47 @@
   return home;
 }
 
+bool Balancer::IsCandidate(TimePoint now, const BackendServer& server,
+                           const RequestNeeds& needs) const {
+  return server.service == needs.service && !server.draining &&
+         !needs.tried.contains(server.id) && Holds(now, server, needs.target);
+}
+
+bool Balancer::IsPassedBy(TimePoint now, const ServerId& server) const {
+  const auto state = servers_.find(server);
+  if (state == servers_.end()) {
+    return false;
+  }
+  return state->second.paused_until > now ||
+         (state->second.returning && state->second.in_flight > 0);
+}
+
+bool Balancer::IsPaused(TimePoint now, const ServerId& server) const {
+  const auto state = servers_.find(server);
+  return state != servers_.end() && state->second.paused_until > now;
+}
+
+std::optional<TimePoint> Balancer::FirstFree(TimePoint now,
+                                             const Directory& directory,
+                                             const RequestNeeds& needs) const {
+  std::optional<TimePoint> first;
+  for (const auto& [id, entry] : directory.entries()) {
+    if (!IsCandidate(now, entry.server, needs) || !IsPassedBy(now, id)) {
+      continue;
+    }
+    const TimePoint free = std::max(now, servers_.at(id).paused_until);
+    first = std::min(first.value_or(free), free);
+  }
+  return first;
+}
+
 std::optional<Choice> Balancer::Choose(TimePoint now, const Catalog& catalog,
                                        const Directory& directory,
                                        const RequestNeeds& needs) {
   std::vector<const BackendServer*> candidates;
   for (const auto& [id, entry] : directory.entries()) {
     const BackendServer& server = entry.server;
-    if (server.service == needs.service && !server.draining &&
-        !needs.tried.contains(id) && Holds(now, server, needs.target)) {
+    if (IsCandidate(now, server, needs) && !IsPassedBy(now, id)) {
       candidates.push_back(&server);
     }
   }
--- a/libs/serving/src/balancer_outcomes.cc
+++ b/libs/serving/src/balancer_outcomes.cc
@@ -25,6 +25,10 @@
 // An engine rejects a model that it is about to drop, and everything while its
 // memory is full: others are better for a while, if there are any.
 constexpr Duration kRejectingFor = milliseconds(400);
+// Instances come back to a server within this part of its pause after the end
+// of it, and within this time at most.
+constexpr double kReturnSpread = 0.1;
+constexpr Duration kLongestReturnSpread = milliseconds(500);
 
 }  // namespace
 
@@ -117,6 +121,7 @@
   state.unread = std::max(Duration{0}, state.unread - attempt.work);
   state.failures_in_row = 0;
   state.avoid_until = TimePoint{};
+  state.returning = state.returning && state.paused_until > now;
   LearnPace(now, attempt);
 }
 
@@ -156,6 +161,7 @@
   }
   state.failures_in_row = 0;
   if (end == AttemptEnd::kAnswered) {
+    state.returning = state.returning && state.paused_until > now;
     const Duration took = now - attempt.sent;
     if (state.service_time.count() == 0) {
       state.service_time = took;
@@ -167,6 +173,18 @@
   }
 }
 
+void Balancer::OnPause(TimePoint now, const ServerId& server, Duration pause) {
+  const Duration spread =
+      std::min(kLongestReturnSpread,
+               Duration(static_cast<std::int64_t>(
+                   kReturnSpread * static_cast<double>(pause.count()))));
+  const Duration later(static_cast<std::int64_t>(
+      random_.Unit() * static_cast<double>(spread.count())));
+  ServerState& state = servers_[server];
+  state.paused_until = std::max(state.paused_until, now + pause + later);
+  state.returning = true;
+}
+
 void Balancer::OnReportedLoad(TimePoint now, const ServerId& server,
                               const ReportedLoad& load) {
   ServerState& state = servers_[server];
--- a/libs/serving/src/directory.cc
+++ b/libs/serving/src/directory.cc
@@ -28,7 +28,15 @@
   return "unknown";
 }
 
-ServerChange Directory::Put(const BackendServer& server) {
+ServerChange Directory::Put(BackendServer server) {
+  if (const auto leaving = leaving_.find(server.id);
+      leaving != leaving_.end()) {
+    if (leaving->second.started_ms == server.started_ms) {
+      server.draining = true;
+    } else {
+      leaving_.erase(leaving);
+    }
+  }
   const auto found = entries_.find(server.id);
   if (found == entries_.end()) {
     entries_.emplace(server.id, Entry{server, std::nullopt});
@@ -49,6 +57,24 @@
   return began_draining ? ServerChange::kDraining : ServerChange::kUpdated;
 }
 
+ServerChange Directory::NoteLeaving(TimePoint now, const ServerId& id,
+                                    std::int64_t started_ms) {
+  std::erase_if(leaving_, [&](const auto& item) {
+    return now - item.second.since >= kLeavingMemory;
+  });
+  const auto found = entries_.find(id);
+  if (found != entries_.end() &&
+      found->second.server.started_ms != started_ms) {
+    return ServerChange::kUnchanged;  // it has started anew since
+  }
+  leaving_[id] = {started_ms, now};
+  if (found == entries_.end() || found->second.server.draining) {
+    return ServerChange::kUnchanged;
+  }
+  found->second.server.draining = true;
+  return ServerChange::kDraining;
+}
+
 std::optional<TimePoint> Directory::GraceEnd(TimePoint now) const {
   if (store_away_) {
     return now + kLapseGrace;
--- a/libs/serving/tests/attempts_test.cc
+++ b/libs/serving/tests/attempts_test.cc
@@ -65,5 +65,17 @@
   CHECK(budgets[0].TakeRetry(At(16'000), service));
 }
 
+TEST_CASE("a stream stalls only after callers have given it up") {
+  using std::chrono::milliseconds;
+  Route route;
+  route.kind = RequestKind::kStreaming;
+  CHECK(LongestGap(route) > milliseconds(2'000));
+  route.latency_target = milliseconds(800);
+  CHECK(LongestGap(route) > milliseconds(3'200));
+  CHECK(LongestGap(route) < milliseconds(4'200));
+  route.pause_target = milliseconds(1'000);
+  CHECK(LongestGap(route) > milliseconds(8'000));
+}
+
 }  // namespace
 }  // namespace figwell::serving
--- a/libs/serving/tests/balancer_test.cc
+++ b/libs/serving/tests/balancer_test.cc
@@ -277,5 +277,51 @@
   CHECK(world.Choose(40'000, ModelNeeds(100)) == "a");
 }
 
+TEST_CASE("a server that asks for a pause is passed by until it ends") {
+  World world;
+  world.directory.Put(MakeServer("a", kDesk, "here"));
+  world.directory.Put(MakeServer("b", kDesk, "there"));
+  world.balancer.OnPause(At(0), ServerId("a"), milliseconds(2'000));
+  CHECK(world.Choose(1'999, DeskNeeds()) == "b");
+  CHECK(world.balancer.IsPaused(At(1'999), ServerId("a")));
+  // Some instances come back a little later than others.
+  CHECK_FALSE(world.balancer.IsPaused(At(2'200), ServerId("a")));
+  CHECK(world.Choose(2'200, DeskNeeds()) == "a");
+  // A shorter pause that is asked for later does not cut it.
+  world.balancer.OnPause(At(3'000), ServerId("a"), milliseconds(2'000));
+  world.balancer.OnPause(At(3'100), ServerId("a"), milliseconds(100));
+  CHECK(world.Choose(4'900, DeskNeeds()) == "b");
+}
+
+TEST_CASE("a server gets one request at a time after its pause") {
+  World world;
+  world.directory.Put(MakeServer("a", kDesk, "here"));
+  world.directory.Put(MakeServer("b", kDesk, "there"));
+  world.balancer.OnPause(At(0), ServerId("a"), milliseconds(1'000));
+  const AttemptNumber first = world.Send(1'200, DeskNeeds());
+  CHECK(world.Choose(1'200, DeskNeeds()) == "b");
+  world.balancer.OnEnd(At(1'220), first, AttemptEnd::kAnswered);
+  world.Send(1'300, DeskNeeds());
+  CHECK(world.Choose(1'300, DeskNeeds()) == "a");
+}
+
+TEST_CASE("when all servers pause it is known when the first is free") {
+  World world;
+  CHECK_FALSE(world.balancer.FirstFree(At(0), world.directory, DeskNeeds()));
+  world.directory.Put(MakeServer("a", kDesk, "here"));
+  world.directory.Put(MakeServer("b", kDesk, "there"));
+  world.balancer.OnPause(At(0), ServerId("a"), milliseconds(9'000));
+  world.balancer.OnPause(At(0), ServerId("b"), milliseconds(3'000));
+  CHECK(world.Choose(100, DeskNeeds()) == "none");
+  const auto free =
+      world.balancer.FirstFree(At(100), world.directory, DeskNeeds());
+  REQUIRE(free);
+  CHECK(*free >= At(3'000));
+  CHECK(*free <= At(3'300));
+  // A restart wants requests at once.
+  world.balancer.Forget(ServerId("b"));
+  CHECK(world.Choose(100, DeskNeeds()) == "b");
+}
+
 }  // namespace
 }  // namespace figwell::serving
--- a/libs/serving/tests/directory_test.cc
+++ b/libs/serving/tests/directory_test.cc
@@ -135,5 +135,42 @@
   CHECK_FALSE(directory.HeldElsewhere(ServerId("unknown"), model));
 }
 
+TEST_CASE("a server's own word that it leaves goes before its entry") {
+  Directory directory;
+  directory.Put(MakeServer("a", 1));
+  CHECK(directory.NoteLeaving(At(10), ServerId("a"), 1) ==
+        ServerChange::kDraining);
+  CHECK(directory.NoteLeaving(At(20), ServerId("a"), 1) ==
+        ServerChange::kUnchanged);
+  // Its entry still says ready, changes, lapses and comes back.
+  directory.Put(MakeServer("a", 1));
+  BackendServer changed = MakeServer("a", 1);
+  changed.slots = 9;
+  directory.Put(changed);
+  CHECK_FALSE(directory.Usable(ServerId("a")));
+  CHECK(directory.Remove(At(30), ServerId("a")) == ServerChange::kGone);
+  directory.Put(changed);
+  CHECK_FALSE(directory.Usable(ServerId("a")));
+}
+
+TEST_CASE("a new start under the same id does not leave") {
+  Directory directory;
+  directory.Put(MakeServer("a", 1));
+  directory.NoteLeaving(At(10), ServerId("a"), 1);
+  CHECK(directory.Put(MakeServer("a", 2)) == ServerChange::kRestarted);
+  CHECK(directory.Usable(ServerId("a")));
+  // What a peer heard of the former start says nothing of this one.
+  CHECK(directory.NoteLeaving(At(20), ServerId("a"), 1) ==
+        ServerChange::kUnchanged);
+  CHECK(directory.Usable(ServerId("a")));
+}
+
+TEST_CASE("a server that is not listed yet may be known to leave") {
+  Directory directory;
+  directory.NoteLeaving(At(10), ServerId("a"), 1);
+  directory.Put(MakeServer("a", 1));
+  CHECK_FALSE(directory.Usable(ServerId("a")));
+}
+
 }  // namespace
 }  // namespace figwell::serving
--- a/libs/telemetry/src/metric_catalogue.cc
+++ b/libs/telemetry/src/metric_catalogue.cc
@@ -23,6 +23,13 @@
                "Idempotency claims, by verdict"},
     MetricInfo{"figwell_patches_total", "counter",
                "Operators' patches, by outcome"},
+    MetricInfo{"figwell_servers_leaving_total", "counter",
+               "Servers that said themselves that they leave, before their "
+               "entry did"},
+    MetricInfo{"figwell_server_pauses_total", "counter",
+               "Answers with which a server asked for a pause"},
+    MetricInfo{"figwell_unexpected_errors_total", "counter",
+               "Exceptions that ended one request or message"},
     MetricInfo{"figwell_attempts_total", "counter",
                "Sends to backend servers, by how they ended"},
     MetricInfo{"figwell_store_calls_total", "counter",
