--- a/libs/serving/src/copies_yield.cc
+++ b/libs/serving/src/copies_yield.cc
@@ -9,8 +9,10 @@
 // counts beyond its demand if nobody asks for it, and if somebody does.
 constexpr double kMissingWork = 150;
 constexpr double kAskedForWork = 600;
-// What each second counts for which a model that is asked for has no copy.
-constexpr double kWaitingWork = 300;
+// What it counts that a model that is asked for has had no copy for as long as
+// its load takes. Slow loads leave places idle for longer, so they wait longer.
+constexpr double kWaitingWork = 450;
+constexpr Duration kShortestLoad = std::chrono::milliseconds(500);
 // A server does no more work in a second, whatever is asked of its copies.
 constexpr double kServerWork = 1'000;
 // A copy makes way only for one that is worth so many times as much.
@@ -37,9 +39,10 @@
   }
   double waiting = 0;
   if (scarce_ && input_.history != nullptr) {
+    const Duration load = std::max(kShortestLoad, LoadTime(model));
     waiting = std::chrono::duration<double>(
-                  input_.history->UnreachableFor(input_.now, model))
-                  .count();
+                  input_.history->UnreachableFor(input_.now, model)) /
+              load;
   }
   return work + kAskedForWork + waiting * kWaitingWork;
 }
@@ -50,8 +53,9 @@
   }
   const int copies = Copies(model);
   if (copies < 2) {
-    return IsAskedFor(model) ? std::min(Work(model), kServerWork) + kAskedForWork
-                             : kMissingWork;
+    return IsAskedFor(model)
+               ? std::min(Work(model), kServerWork) + kAskedForWork
+               : kMissingWork;
   }
   const double loss = WorkPerCopy(model, copies - 1);
   return scarce_ ? std::min(loss, kServerWork) : loss;
@@ -65,10 +69,9 @@
   if (!IsAskedFor(model)) {
     return true;
   }
-  const bool served_a_while =
-      input_.history != nullptr &&
-      input_.history->HeldFor(input_.now, id, model) >=
-          kTenureLoads * LoadTime(model);
+  const bool served_a_while = input_.history != nullptr &&
+                              input_.history->HeldFor(input_.now, id, model) >=
+                                  kTenureLoads * LoadTime(model);
   return Copies(wanted) == 0 && served_a_while &&
          Loss(model) * kClearGain < WorthOfNextCopy(wanted);
 }
--- a/libs/serving/tests/oversubscription_test.cc
+++ b/libs/serving/tests/oversubscription_test.cc
@@ -50,10 +50,9 @@
   }
   // A tenth is spread evenly, so that rare models are asked for too.
   constexpr double kEven = 0.1;
-  return random.Unit() < kEven
-             ? static_cast<int>(
-                   random.Below(static_cast<std::uint64_t>(models)))
-             : rank;
+  return random.Unit() < kEven ? static_cast<int>(random.Below(
+                                     static_cast<std::uint64_t>(models)))
+                               : rank;
 }
 
 class Play {
@@ -126,8 +125,7 @@
       }
       const ServerId* oldest = nullptr;
       for (const auto& [id, place] : places_) {
-        if (!place.loading &&
-            (oldest == nullptr || Used(id) < Used(*oldest))) {
+        if (!place.loading && (oldest == nullptr || Used(id) < Used(*oldest))) {
           oldest = &id;
         }
       }
@@ -176,16 +174,16 @@
 
   void Arrivals(TimePoint now) {
     const auto shift = static_cast<int>((now - TimePoint{}) / kShift);
-    const double count = kRequestsPerSecond *
-                         std::chrono::duration<double>(kTick).count();
+    const double count =
+        kRequestsPerSecond * std::chrono::duration<double>(kTick).count();
     for (int i = 0; i < static_cast<int>(count); ++i) {
       const ModelId model =
           Model((DrawRank(random_, models_) + shift * 5) % models_);
       ++requests_;
       asked_models_.insert(model);
-      meter_.OnRequest(now, {model, {}},
-                       Duration(static_cast<std::int64_t>(
-                           kWorkOfRequestMs * 1e3)));
+      meter_.OnRequest(
+          now, {model, {}},
+          Duration(static_cast<std::int64_t>(kWorkOfRequestMs * 1e3)));
       waiting_.push_back({model, now});
     }
   }
