Answer what callers began before a planned stop ended

Cause: the process ended as soon as no request was being handled, 2.5 s after SIGTERM. Heads that were half read, answers still being written, and connections that the kernel had accepted and the process had not were cut off without an answer.

Change: connections that wait to be accepted are taken when the listener closes; idle ones close half a second later; the process ends once no connection is open, or its grace is over.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -13,6 +13,9 @@
 // The platform's balancer notices within two questions, a second apart, that
 // an instance is no longer ready.
 constexpr Duration kBalancerLag = milliseconds(2'500);
+// Callers whose connections were made last have sent a request by then, if they
+// want one answered; idle ones are closed.
+constexpr Duration kLastRequests = milliseconds(500);
 constexpr milliseconds kStopPoll{50};
 // The platform kills the process at the end of the grace; what runs is cut off
 // this much earlier, so that its callers learn of it.
@@ -349,10 +352,14 @@
   if (accepting_ && since >= kBalancerLag) {
     accepting_ = false;
     callers_.StopAccepting();
+  }
+  if (since >= kBalancerLag + kLastRequests) {
     // A request that came now could not be sure to end within the grace.
     callers_.CloseIdleConnections();
   }
-  const bool idle = !accepting_ && state_.active_requests == 0;
+  // An open connection has a request on it that is being read, run or answered.
+  const bool idle = !accepting_ && state_.active_requests == 0 &&
+                    callers_.open_connections() == 0;
   if (idle || since >= state_.settings.bounds.stop_grace - kStopMargin) {
     peers_.Leave();
     context_.stop();
--- a/libs/http/include/figwell/http.h
+++ b/libs/http/include/figwell/http.h
@@ -208,7 +208,7 @@
   /** Bounds from now on; open connections keep their bound on heads. */
   void SetLimits(const ServerLimits& limits);
 
-  /** Takes no more connections. Those that are open stay. */
+  /** Takes no more connections. Those that clients have made stay. */
   void StopAccepting();
 
   /** Makes every answer from now on the last one of its connection. */
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -23,6 +23,13 @@
 
   void Accept();
   void AcceptLater();
+  void AcceptWaiting();
+  void Close() {
+    boost::system::error_code ignored;
+    acceptor.close(ignored);
+    retry_timer.cancel();
+  }
+  void Begin(asio::ip::tcp::socket socket);
   void OnAccepted(const boost::system::error_code& error,
                   asio::ip::tcp::socket socket);
 
@@ -61,6 +68,11 @@
     AcceptLater();
     return;
   }
+  Begin(std::move(socket));
+  Accept();
+}
+
+void Server::State::Begin(asio::ip::tcp::socket socket) {
   const auto connection =
       std::make_shared<Connection>(std::move(socket), shared);
   if (shared->open_connections > shared->limits.connections) {
@@ -68,7 +80,18 @@
   } else {
     connection->Start();
   }
-  Accept();
+}
+
+void Server::State::AcceptWaiting() {
+  boost::system::error_code error;
+  acceptor.non_blocking(true, error);
+  while (!error) {
+    asio::ip::tcp::socket socket(acceptor.get_executor());
+    acceptor.accept(socket, error);
+    if (!error) {
+      Begin(std::move(socket));
+    }
+  }
 }
 
 Server::Server(asio::io_context& context, ServerLimits limits,
@@ -78,7 +101,7 @@
   state_->shared->handlers = std::move(handlers);
 }
 
-Server::~Server() { StopAccepting(); }
+Server::~Server() { state_->Close(); }
 
 Result<std::string> Server::Listen(const std::string& address) {
   const auto endpoint = ParseEndpoint(address);
@@ -108,9 +131,11 @@
 }
 
 void Server::StopAccepting() {
-  boost::system::error_code ignored;
-  state_->acceptor.close(ignored);
-  state_->retry_timer.cancel();
+  if (state_->acceptor.is_open()) {
+    // Closing would reset those that the kernel has accepted already.
+    state_->AcceptWaiting();
+  }
+  state_->Close();
 }
 
 void Server::CloseAfterAnswers() { state_->shared->close_after_answers = true; }
--- a/libs/http/tests/exchange_test.cc
+++ b/libs/http/tests/exchange_test.cc
@@ -204,6 +204,62 @@
   CHECK(busy.Read("done!").ends_with("done!"));
 }
 
+TEST_CASE("connections made just before a server stops are served") {
+  Loopback loopback({}, Echo);
+  const auto colon = loopback.address.rfind(':');
+  const tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"),
+                               static_cast<std::uint16_t>(std::stoi(
+                                   loopback.address.substr(colon + 1))));
+  std::vector<tcp::socket> sockets;
+  for (int i = 0; i < 5; ++i) {
+    sockets.emplace_back(loopback.context).connect(endpoint);
+    asio::write(
+        sockets.back(),
+        asio::buffer(std::string(
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi")));
+  }
+  loopback.server.StopAccepting();
+  loopback.server.CloseAfterAnswers();
+  int answered = 0;
+  std::vector<std::string> answers(sockets.size());
+  for (std::size_t i = 0; i < sockets.size(); ++i) {
+    asio::async_read(
+        sockets[i], asio::dynamic_buffer(answers[i]),
+        [&](boost::system::error_code, std::size_t) { ++answered; });
+  }
+  while (answered < 5) {
+    loopback.context.run_one();
+  }
+  for (const std::string& answer : answers) {
+    CHECK(answer.ends_with("\r\n\r\nhi"));
+  }
+}
+
+TEST_CASE("heads that answer nothing are bounded in number and time") {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+  const std::string address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  std::shared_ptr<tcp::socket> served;
+  acceptor.async_accept([&](boost::system::error_code, tcp::socket socket) {
+    served = std::make_shared<tcp::socket>(std::move(socket));
+    std::string interim;
+    for (int i = 0; i < 1'000; ++i) {
+      interim += "HTTP/1.1 102 Wait\r\n\r\n";
+    }
+    asio::write(*served, asio::buffer(interim));
+  });
+  Client client(context, {});
+  std::optional<tl::expected<Response, ClientError>> outcome;
+  client.Fetch(address, Post("x"), {},
+               [&](auto result) { outcome = std::move(result); });
+  while (!outcome) {
+    context.run_one();
+  }
+  REQUIRE_FALSE(*outcome);
+  CHECK(outcome->error().stage == Stage::kHead);
+}
+
 TEST_CASE("an aborted stream reaches the client as an error") {
   Loopback loopback({}, [](const ExchangePtr& exchange) {
     exchange->StartStream(200, {});
