--- /dev/null
+++ b/fuzz/edge_messages_fuzz.cc
@@ -0,0 +1,37 @@
+// Feeds bytes to the decoders of what edge processes tell each other. Their
+// envelopes are sealed, so such bytes come from a peer with a fault.
+
+#include <cstdint>
+#include <string_view>
+
+#include "../apps/edge/messages.h"
+
+namespace {
+
+namespace edge = figwell::edge;
+namespace peers = figwell::peers;
+
+template <typename Message>
+void TryUnpack(std::string_view input) {
+  static_cast<void>(peers::Unpack<Message>(input));
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  const std::string_view input(reinterpret_cast<const char*>(data), size);
+  TryUnpack<edge::StatusMessage>(input);
+  TryUnpack<edge::DomainStatusMessage>(input);
+  TryUnpack<edge::DemandMessage>(input);
+  TryUnpack<edge::PlacementMessage>(input);
+  TryUnpack<edge::ServerLeavingMessage>(input);
+  TryUnpack<edge::AdapterWantedMessage>(input);
+  TryUnpack<edge::ChangesWantedMessage>(input);
+  if (const auto changes = peers::Unpack<edge::ChangesMessage>(input)) {
+    figwell::serving::ChangeLog log;
+    log.Take(changes->changes);
+  }
+  static_cast<void>(edge::UnpackServer(input));
+  return 0;
+}
--- /dev/null
+++ b/fuzz/platform_documents_fuzz.cc
@@ -0,0 +1,57 @@
+// Feeds bytes to everything that reads what the platform's store, its operator,
+// backend servers and callers say. Nothing may be thrown, whatever they say.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "figwell/adapter.h"
+
+namespace {
+
+using figwell::RequestId;
+using figwell::ServerId;
+namespace adapter = figwell::adapter;
+namespace http = figwell::http;
+
+/** Lines of `Name: value`. */
+http::Headers ReadHeaders(std::string_view text) {
+  http::Headers headers;
+  while (!text.empty()) {
+    const std::size_t end = text.find('\n');
+    const std::string_view line = text.substr(0, end);
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+      headers.Add(std::string(line.substr(0, colon)),
+                  std::string(line.substr(colon + 1)));
+    }
+    text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+  }
+  return headers;
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  const std::string input(reinterpret_cast<const char*>(data), size);
+  static_cast<void>(adapter::DecodeConfiguration(input));
+  static_cast<void>(adapter::DecodeServer(ServerId("s"), input));
+  static_cast<void>(adapter::ServerOfKey(input));
+  static_cast<void>(adapter::DecodeReport({200, {}, input}));
+
+  http::Request request;
+  request.headers = ReadHeaders(input);
+  request.target = input;
+  const adapter::RequestHead head = adapter::ReadHead(request);
+  adapter::ServerHead added;
+  added.server = ServerId("s");
+  added.remaining = head.patience;
+  static_cast<void>(adapter::MakeServerRequest(request, added));
+  for (const int status : {200, 421, 503}) {
+    static_cast<void>(
+        adapter::ReadAnswer(RequestId("r"), status, request.headers));
+  }
+  static_cast<void>(adapter::FieldsForCaller(request.headers));
+  return 0;
+}
