Bound the bodies of all callers' requests together

Each body had its bound, all of them together none: 2,500 connections could hold gigabytes on machines of 160 MB. Test: the bodies of all requests together have a bound (fails to build before, since there was no such limit).

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -88,8 +88,8 @@
     case http::RejectReason::kTimeout:
       return http::JsonResponse(kTimeout, "{\"error\":\"timeout\"}");
     case http::RejectReason::kTooManyConnections:
-      return http::JsonResponse(kUnavailable,
-                                "{\"error\":\"too_many_connections\"}");
+    case http::RejectReason::kTooManyBytes:
+      return http::JsonResponse(kUnavailable, "{\"error\":\"overloaded\"}");
     default:
       return http::JsonResponse(kBadRequest, "{\"error\":\"malformed\"}");
   }
--- a/apps/gateway/traffic_thread.cc
+++ b/apps/gateway/traffic_thread.cc
@@ -12,6 +12,7 @@
     case http::RejectReason::kHeaderTooLarge:
       return Refusal::kRequestTooLarge;
     case http::RejectReason::kTooManyConnections:
+    case http::RejectReason::kTooManyBytes:
       return Refusal::kOverloaded;
     default:
       return Refusal::kBadRequest;
--- a/libs/http/include/figwell/http.h
+++ b/libs/http/include/figwell/http.h
@@ -91,6 +91,7 @@
   kBodyTooLarge,
   kTimeout,             ///< the request did not arrive in time
   kTooManyConnections,  ///< over ServerLimits::connections
+  kTooManyBytes,        ///< over ServerLimits::all_body_bytes
 };
 
 /** The stable name of a reason, for counters. */
@@ -142,6 +143,8 @@
 struct ServerLimits {
   std::size_t header_bytes = 16'384;
   std::size_t body_bytes = 4'194'304;
+  /** Of the bodies of all requests that have no answer yet. */
+  std::size_t all_body_bytes = 33'554'432;
   std::size_t connections = 4096;
   std::chrono::milliseconds header_timeout{10'000};
   std::chrono::milliseconds body_timeout{30'000};
--- a/libs/http/src/connection.h
+++ b/libs/http/src/connection.h
@@ -21,6 +21,8 @@
   ServerLimits limits;
   ServerHandlers handlers;
   std::size_t open_connections = 0;
+  /** Bytes of bodies whose requests have no answer yet. */
+  std::size_t body_bytes = 0;
   bool close_after_answers = false;
   /** Connections that wait for a request of which nothing has come. */
   std::set<Connection*> idle;
@@ -69,6 +71,9 @@
   void OnHead(ErrorCode error, std::size_t head_bytes);
   void ParseHead(std::size_t head_bytes);
   void ReadBody();
+  /** Counts the body as far as it was read; false if there is no room. */
+  bool CountBody();
+  void ReleaseBody();
   void SendContinue();
   void OnReadError(ErrorCode error);
   void OnWholeRequest();
@@ -93,6 +98,7 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser_;
   Request request_;
+  std::size_t counted_body_ = 0;
   bool request_keeps_alive_ = false;
   Phase phase_ = Phase::kReading;
   bool watching_ = false;
--- a/libs/http/src/connection_read.cc
+++ b/libs/http/src/connection_read.cc
@@ -60,6 +60,7 @@
 }
 
 Connection::~Connection() {
+  ReleaseBody();
   shared_->idle.erase(this);
   --shared_->open_connections;
 }
@@ -164,6 +165,7 @@
     return;
   }
   buffer_.consume(used);
+  stream_.expires_after(shared_->limits.body_timeout);
   if (parser_->get().count("Expect") > 0 && !parser_->is_done()) {
     SendContinue();
   } else {
@@ -176,29 +178,44 @@
     OnWholeRequest();
     return;
   }
-  stream_.expires_after(shared_->limits.body_timeout);
-  beast::http::async_read(
+  beast::http::async_read_some(
       stream_, buffer_, *parser_,
       [self = shared_from_this()](ErrorCode error, std::size_t) {
         if (error) {
           self->OnReadError(error);
+        } else if (!self->CountBody()) {
+          self->Reject(RejectReason::kTooManyBytes);
         } else {
-          self->OnWholeRequest();
+          self->ReadBody();
         }
       });
 }
 
+bool Connection::CountBody() {
+  const std::size_t size = parser_->get().body().size();
+  shared_->body_bytes += size - counted_body_;
+  counted_body_ = size;
+  return shared_->body_bytes <= shared_->limits.all_body_bytes;
+}
+
+void Connection::ReleaseBody() {
+  shared_->body_bytes -= counted_body_;
+  counted_body_ = 0;
+}
+
 void Connection::SendContinue() {
   static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
   stream_.expires_after(shared_->limits.write_timeout);
-  asio::async_write(stream_, asio::buffer(kContinue),
-                    [self = shared_from_this()](ErrorCode error, std::size_t) {
-                      if (error) {
-                        self->Close();
-                      } else {
-                        self->ReadBody();
-                      }
-                    });
+  asio::async_write(
+      stream_, asio::buffer(kContinue),
+      [self = shared_from_this()](ErrorCode error, std::size_t) {
+        if (error) {
+          self->Close();
+        } else {
+          self->stream_.expires_after(self->shared_->limits.body_timeout);
+          self->ReadBody();
+        }
+      });
 }
 
 void Connection::OnReadError(ErrorCode error) {
@@ -222,6 +239,7 @@
 
 void Connection::Reject(RejectReason reason) {
   phase_ = Phase::kHandling;
+  ReleaseBody();
   // What follows a request that could not be read is not a request.
   WriteWhole(shared_->handlers.on_reject(reason), /*keep_alive=*/false);
 }
--- a/libs/http/src/connection_write.cc
+++ b/libs/http/src/connection_write.cc
@@ -133,6 +133,8 @@
     return;
   }
   on_closed_ = nullptr;
+  ReleaseBody();
+  request_.body = {};
   if (keep_alive) {
     WaitForRequest();
   } else {
--- a/libs/http/src/messages.cc
+++ b/libs/http/src/messages.cc
@@ -48,6 +48,8 @@
       return "read_timeout";
     case RejectReason::kTooManyConnections:
       return "too_many_connections";
+    case RejectReason::kTooManyBytes:
+      return "too_many_bytes";
   }
   return "malformed";
 }
--- a/libs/http/tests/exchange_test.cc
+++ b/libs/http/tests/exchange_test.cc
@@ -102,6 +102,51 @@
   CHECK(loopback.Fetch(Post(std::string(1000, 'x')))->status == 200);
 }
 
+TEST_CASE("the bodies of all requests together have a bound") {
+  ServerLimits limits;
+  limits.all_body_bytes = 1'000;
+  std::vector<ExchangePtr> held;
+  Loopback loopback(
+      limits, [&](const ExchangePtr& exchange) { held.push_back(exchange); });
+  const auto post = [&](std::string body, int& status) {
+    loopback.client.Fetch(loopback.address, Post(std::move(body)), {},
+                          [&status](const auto& result) {
+                            status = result ? result->status : -1;
+                          });
+  };
+  int first = 0;
+  int second = 0;
+  post(std::string(700, 'a'), first);
+  while (held.empty()) {
+    loopback.context.run_one();
+  }
+  post(std::string(700, 'b'), second);
+  while (second == 0) {
+    loopback.context.run_one();
+  }
+  CHECK(second == 400);  // what this test's server rejects with
+  REQUIRE(loopback.rejected.size() == 1);
+  CHECK(loopback.rejected[0] == RejectReason::kTooManyBytes);
+  held[0]->Send({200, {}, "done"});
+  held.clear();
+  while (first == 0) {
+    loopback.context.run_one();
+  }
+  CHECK(first == 200);
+  // The first one's bytes are free again.
+  int third = 0;
+  post(std::string(700, 'c'), third);
+  while (held.empty()) {
+    loopback.context.run_one();
+  }
+  held[0]->Send({200, {}, "done"});
+  held.clear();
+  while (third == 0) {
+    loopback.context.run_one();
+  }
+  CHECK(third == 200);
+}
+
 TEST_CASE("raw requests that cannot be read get an answer, not a crash") {
   Loopback loopback({}, Echo);
   const std::string long_header(20'000, 'h');
