Send less between instances as the fleet grows

Cause, read from the code: an answer to a peer that had listed the registry a moment earlier held every entry again, in datagrams, and was asked for every 60 ms until all of its parts had come; with 3,000 servers that is a thousand datagrams an answer. Where servers register all the time an instance that relies on peers is always behind someone, so after 600 ms each followed the store itself. A domain's loads went to every instance as one list of all its servers, and each part of the list copied all that had come before. Plans looked at each server for each adapter.

Change: answers carry what changed and a digest of the keys; only a reader whose keys differ asks for everything, and not while parts still come. Behind is who misses the same change for 600 ms. Loads of engines that are all but idle are not told to other domains, urgent messages carry none, and parts are taken up in place. Plans know which servers hold a model. A listing's revision counts as known, so that a removal just before it is not missed by those who rely on it.

A refusal while all servers pause says so also to the request that has just heard of the last pause; it was told 100 ms whatever the pause was.

--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -68,7 +68,10 @@
   void OnPlacements(const InstanceId& from, const PlacementMessage& message);
   void TellOfLeaving(const ServerLeavingMessage& message,
                      const std::optional<InstanceId>& from);
-  /** The loads that a sender told of, with this part of its message. */
+  /** The loads in this part of a message, of servers that are known. */
+  std::map<ServerId, serving::PeerLoad> ReadLoads(
+      const StatusMessage& status) const;
+  /** The loads that a member told of, with this part of its message. */
   const std::map<ServerId, serving::PeerLoad>& TakeLoads(
       const InstanceId& from, const StatusMessage& status);
   /** The name under which another domain's sums are kept. */
@@ -79,15 +82,23 @@
   void TickStatus();
   void TickDemand();
   void NotePeers(TimePoint now);
+  /** Whether other domains need to know of the load. */
+  bool IsWorthTelling(const ServerId& server,
+                      const serving::PeerLoad& load) const;
   /** In parts that fit into datagrams. */
   std::vector<StatusMessage> MakeStatus(
       std::uint64_t incarnation,
       const std::map<ServerId, serving::PeerLoad>& loads,
       const std::vector<serving::TeamSpending>& spending) const;
+  /** The loads of the domain's instances that others need to know of. */
+  std::map<ServerId, serving::PeerLoad> DomainLoads(
+      TimePoint now, const std::map<ServerId, serving::PeerLoad>& own) const;
+  /** @param loads null: those that were told before still hold */
   void SendDomainStatus(TimePoint now,
-                        const std::map<ServerId, serving::PeerLoad>& loads,
+                        const std::map<ServerId, serving::PeerLoad>* loads,
                         const std::vector<serving::TeamSpending>& spending);
   void SendStatus(TimePoint now);
+  /** Tells what teams spent and which changes are known, without loads. */
   void SendStatusSoon();
 
   boost::asio::io_context context_;
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -14,6 +14,10 @@
 constexpr milliseconds kChangesPause{400};
 constexpr milliseconds kPausePerFollower{15};
 constexpr int kPausePartOfNotice = 2;
+// An engine with less unread than this, and under this part of its slots taken,
+// counts as idle: choices hardly differ, and most engines are like that.
+constexpr Duration kToldUnread = milliseconds(15);
+constexpr int kToldPartOfSlots = 8;
 // Fits into a datagram beside the spending of some teams.
 constexpr std::size_t kMostLoads = 44;
 constexpr std::size_t kMostTeams = 16;
@@ -110,12 +114,9 @@
   }
 }
 
-const std::map<ServerId, serving::PeerLoad>& Edge::TakeLoads(
-    const InstanceId& from, const StatusMessage& status) {
-  auto& loads = told_loads_[from];
-  if (status.first) {
-    loads.clear();
-  }
+std::map<ServerId, serving::PeerLoad> Edge::ReadLoads(
+    const StatusMessage& status) const {
+  std::map<ServerId, serving::PeerLoad> loads;
   for (const ServerLoadItem& item : status.loads) {
     const auto server = server_of_hash_.find(item.server);
     if (server != server_of_hash_.end()) {
@@ -125,6 +126,16 @@
   return loads;
 }
 
+const std::map<ServerId, serving::PeerLoad>& Edge::TakeLoads(
+    const InstanceId& from, const StatusMessage& status) {
+  auto& loads = told_loads_[from];
+  if (status.first) {
+    loads.clear();
+  }
+  loads.merge(ReadLoads(status));
+  return loads;
+}
+
 void Edge::OnStatus(const InstanceId& from, const StatusMessage& status) {
   const TimePoint now = MonotonicNow();
   const auto& loads = TakeLoads(from, status);
@@ -142,7 +153,8 @@
   }
   const TimePoint now = MonotonicNow();
   const InstanceId standin = StandInFor(DomainId(message.domain));
-  state_.balancer.OnPeerLoads(now, standin, TakeLoads(standin, message.sums));
+  state_.balancer.OnPeerLoads(now, standin, ReadLoads(message.sums),
+                              message.sums.first);
   state_.allowances.OnPeer(
       now, standin,
       {message.sums.incarnation, message.instances, message.sums.spending});
@@ -212,6 +224,14 @@
   return parts;
 }
 
+bool Edge::IsWorthTelling(const ServerId& server,
+                          const serving::PeerLoad& load) const {
+  const serving::BackendServer* entry = state_.directory.Find(server);
+  const bool engine = entry != nullptr && !entry->models.empty();
+  return !engine || load.unread >= kToldUnread ||
+         load.in_flight * kToldPartOfSlots >= entry->slots;
+}
+
 void Edge::TickStatus() {
   const TimePoint now = MonotonicNow();
   for (const ServerId& gone : state_.directory.Expire(now)) {
@@ -255,9 +275,16 @@
 
 void Edge::SendStatusSoon() {
   const TimePoint now = MonotonicNow();
-  if (now - status_sent_ >= kShortestStatusInterval) {
-    SendStatus(now);
+  if (now - status_sent_ < kShortestStatusInterval) {
+    return;
+  }
+  status_sent_ = now;
+  const auto spending = state_.allowances.Own(now);
+  for (StatusMessage& part : MakeStatus(incarnation_, {}, spending)) {
+    part.first = false;  // the loads that were told before still hold
+    peers_.SendToOwnDomain(MessageKind::kStatus, part);
   }
+  SendDomainStatus(now, nullptr, spending);
 }
 
 void Edge::SendStatus(TimePoint now) {
@@ -267,7 +294,7 @@
   for (const StatusMessage& part : MakeStatus(incarnation_, loads, spending)) {
     peers_.SendToOwnDomain(MessageKind::kStatus, part);
   }
-  SendDomainStatus(now, loads, spending);
+  SendDomainStatus(now, &loads, spending);
   status_timer_.expires_after(kStatusInterval);
   status_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
@@ -276,8 +303,17 @@
   });
 }
 
+std::map<ServerId, serving::PeerLoad> Edge::DomainLoads(
+    TimePoint now, const std::map<ServerId, serving::PeerLoad>& own) const {
+  auto sums = summary_.Loads(now, own);
+  std::erase_if(sums, [&](const auto& item) {
+    return !IsWorthTelling(item.first, item.second);
+  });
+  return sums;
+}
+
 void Edge::SendDomainStatus(
-    TimePoint now, const std::map<ServerId, serving::PeerLoad>& loads,
+    TimePoint now, const std::map<ServerId, serving::PeerLoad>* loads,
     const std::vector<serving::TeamSpending>& spending) {
   const auto delegates = peers_.Delegates();
   const DomainId& own = state_.settings.failure_domain;
@@ -287,8 +323,13 @@
   const auto instances = Clamp<std::uint16_t>(summary_.Instances(now));
   const std::uint64_t speaker =
       StableHash(state_.settings.instance.value(), incarnation_);
-  for (StatusMessage& part : MakeStatus(speaker, summary_.Loads(now, loads),
-                                        summary_.Spending(spending))) {
+  auto parts =
+      MakeStatus(speaker,
+                 loads == nullptr ? std::map<ServerId, serving::PeerLoad>{}
+                                  : DomainLoads(now, *loads),
+                 summary_.Spending(spending));
+  for (StatusMessage& part : parts) {
+    part.first = part.first && loads != nullptr;
     const DomainStatusMessage message{own.value(), instances, std::move(part)};
     for (const auto& [domain, delegate] : delegates) {
       if (domain != own) {
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -251,6 +251,9 @@
 
 void CallerRequest::GiveUp(serving::Progress progress,
                            std::string_view detail) {
+  if (RefuseWhilePaused()) {
+    return;
+  }
   if (!may_have_run_) {
     const bool shed = progress == serving::Progress::kRejected;
     Refuse(shed ? serving::RefusalReason::kShed
--- a/apps/edge/shared_view.cc
+++ b/apps/edge/shared_view.cc
@@ -75,15 +75,18 @@
     behind_since_.reset();
     return;
   }
-  if (!behind_since_) {
+  // Where changes come all the time, someone always knows more; what counts is
+  // how long the same change has been missing.
+  if (!behind_since_ || missing_ <= log_.newest()) {
     behind_since_ = now;
+    missing_ = highest_heard_;
   }
   const Duration behind = now - *behind_since_;
   const bool relies = !Follows();
   if (newest > log_.newest() && now - asked_ >= kAskInterval &&
       (relies || behind >= follower_.pause() + kAskAfter)) {
     asked_ = now;
-    callbacks_.ask(peer, log_.newest());
+    callbacks_.ask(peer, log_.ask_after());
   }
   if (behind >= (relies ? kRelyingBehindFor : follower_.pause() + kBehindFor)) {
     behind_since_ = now;
@@ -93,6 +96,9 @@
 
 void SharedView::OnChanges(const serving::ChangeSet& set) {
   const auto news = log_.Take(set);
+  if (log_.awaits_parts()) {
+    asked_ = MonotonicNow();  // the other parts are on their way
+  }
   if (!news.empty()) {
     callbacks_.on_changes(news);
   }
--- a/apps/edge/shared_view.h
+++ b/apps/edge/shared_view.h
@@ -67,6 +67,9 @@
   StoreFollower follower_;
   serving::ChangeLog log_;
   store::Revision highest_heard_ = 0;
+  /** A revision that a peer knows and this instance does not, and since when.
+   */
+  store::Revision missing_ = 0;
   std::optional<TimePoint> behind_since_;
   TimePoint asked_;
 };
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -128,16 +128,21 @@
   /** Whether the server has asked for a pause that has not ended. */
   bool IsPaused(TimePoint now, const ServerId& server) const;
   /**
-   * When the first server that could take the request, were it not paused, is
-   * free again; nullopt if there is none such.
+   * When the first server that could take the request again, were it not
+   * paused, is free; nullopt if there is none such, or one that is not paused.
    */
   std::optional<TimePoint> FirstFree(TimePoint now, const Directory& directory,
                                      const RequestNeeds& needs) const;
 
   void OnReportedLoad(TimePoint now, const ServerId& server,
                       const ReportedLoad& load);
+  /**
+   * What a peer has under way.
+   * @param first whether it replaces what the peer told before
+   */
   void OnPeerLoads(TimePoint now, const InstanceId& peer,
-                   const std::map<ServerId, PeerLoad>& loads);
+                   const std::map<ServerId, PeerLoad>& loads,
+                   bool first = true);
 
   /** A server was announced to hold, or not to hold any more, a target. */
   void OnPlacement(TimePoint now, const ServerId& server,
--- a/libs/serving/include/figwell/serving/change_log.h
+++ b/libs/serving/include/figwell/serving/change_log.h
@@ -3,6 +3,7 @@
 
 /** Changes of the store that instances pass on to each other; see serving.h. */
 
+#include <cereal/types/optional.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -41,13 +42,18 @@
   std::uint16_t parts = 1;
   /** All entries: what is in none of the parts was removed. */
   bool whole = false;
+  /**
+   * If set, removals may be missing: complete only for a reader whose keys then
+   * have this digest. Others ask for the whole.
+   */
+  std::optional<std::uint64_t> digest;
   std::vector<LoggedEntry> entries;
 
   friend bool operator==(const ChangeSet&, const ChangeSet&) = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(after, upto, part, parts, whole, entries);
+    archive(after, upto, part, parts, whole, digest, entries);
   }
 };
 
@@ -75,6 +81,13 @@
 
   /** Everything up to this revision is known here. */
   store::Revision newest() const { return newest_; }
+  /**
+   * The revision after which to ask peers for changes; 0 for everything, if
+   * removals are missing here that peers no longer know one by one.
+   */
+  store::Revision ask_after() const { return want_whole_ ? 0 : newest_; }
+  /** Whether some parts of an answer are here and others are not. */
+  bool awaits_parts() const { return pending_.has_value(); }
 
  private:
   /** An answer of which some parts are still missing. */
@@ -85,6 +98,8 @@
     std::set<std::string> keys;
   };
 
+  /** Covers the keys that exist, with their revisions. */
+  std::uint64_t Digest() const;
   /** Keeps the entry if it is newer; what is complete stays as it is. */
   bool Keep(const LoggedEntry& entry);
   void RememberRemoval(const std::string& key);
@@ -97,6 +112,7 @@
   store::Revision forgotten_ = 0;
   store::Revision newest_ = 0;
   std::optional<Pending> pending_;
+  bool want_whole_ = false;
 };
 
 }  // namespace figwell::serving
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -263,11 +263,17 @@
 std::optional<TimePoint> Balancer::FirstFree(TimePoint now,
                                              const Directory& directory,
                                              const RequestNeeds& needs) const {
+  // Whoever comes back may be sent to all of them again.
+  RequestNeeds later = needs;
+  later.tried.clear();
   std::optional<TimePoint> first;
   for (const auto& [id, entry] : directory.entries()) {
-    if (!IsCandidate(now, entry.server, needs) || !IsPassedBy(now, id)) {
+    if (!IsCandidate(now, entry.server, later)) {
       continue;
     }
+    if (!IsPassedBy(now, id)) {
+      return std::nullopt;
+    }
     const TimePoint free = std::max(now, servers_.at(id).paused_until);
     first = std::min(first.value_or(free), free);
   }
--- a/libs/serving/src/balancer_outcomes.cc
+++ b/libs/serving/src/balancer_outcomes.cc
@@ -194,8 +194,17 @@
 }
 
 void Balancer::OnPeerLoads(TimePoint now, const InstanceId& peer,
-                           const std::map<ServerId, PeerLoad>& loads) {
-  peers_[peer] = PeerState{now, loads};
+                           const std::map<ServerId, PeerLoad>& loads,
+                           bool first) {
+  PeerState& state = peers_[peer];
+  state.heard = now;
+  if (first) {
+    state.loads = loads;
+    return;
+  }
+  for (const auto& [server, load] : loads) {
+    state.loads[server] = load;
+  }
 }
 
 void Balancer::OnPlacement(TimePoint now, const ServerId& server,
--- a/libs/serving/src/change_log.cc
+++ b/libs/serving/src/change_log.cc
@@ -73,21 +73,35 @@
     }
   }
   for (LoggedEntry& entry : RemoveAllBut(keys, revision)) {
-    // When it went is not known; others ask after what they know.
-    newest_ = std::max(newest_, entry.revision);
     news.push_back(std::move(entry));
   }
-  // Removals before the listing were never seen here.
+  // A removal just before the listing shows in nothing here, so that those who
+  // listed earlier have to compare.
+  newest_ = std::max(newest_, revision);
   forgotten_ = std::max(forgotten_, newest_);
+  want_whole_ = false;
   return news;
 }
 
+std::uint64_t ChangeLog::Digest() const {
+  std::uint64_t digest = 0;
+  for (const auto& [key, entry] : entries_) {
+    if (!entry.removed) {
+      digest ^= StableHash(key, static_cast<std::uint64_t>(entry.revision));
+    }
+  }
+  return digest;
+}
+
 std::vector<ChangeSet> ChangeLog::Since(store::Revision after,
                                         std::size_t max_bytes) const {
   ChangeSet frame;
-  frame.whole = after < forgotten_;
+  frame.whole = after <= 0;
   frame.after = frame.whole ? 0 : after;
   frame.upto = newest_;
+  if (!frame.whole && after < forgotten_) {
+    frame.digest = Digest();
+  }
   std::vector<ChangeSet> sets(1, frame);
   std::size_t bytes = 0;
   for (const auto& [key, entry] : entries_) {
@@ -133,8 +147,13 @@
     }
     forgotten_ = std::max(forgotten_, set.upto);
   }
-  newest_ = set.upto;
   pending_.reset();
+  want_whole_ = set.digest && *set.digest != Digest();
+  if (!want_whole_) {
+    newest_ = set.upto;
+    // Whoever asks here may have missed removals that are not known here.
+    forgotten_ = set.digest ? std::max(forgotten_, set.upto) : forgotten_;
+  }
   return news;
 }
 
--- a/libs/serving/src/copies.cc
+++ b/libs/serving/src/copies.cc
@@ -29,6 +29,8 @@
   for (const auto& [id, server] : input_.servers) {
     for (const auto& [model, adapters] : server.models) {
       ++copies_[model];
+      holders_[model].push_back(id);
+      adapters_held_[id] += static_cast<int>(adapters.size());
       for (const std::string& adapter : adapters) {
         ++adapter_copies_[{model, adapter}];
       }
@@ -304,6 +306,12 @@
 
 void Planner::FillVacancies() {
   std::map<ModelId, int> copies = copies_;
+  std::set<ServerId> vacant;
+  for (const auto& [id, server] : input_.servers) {
+    if (UsedMb(server) < capacity_) {
+      vacant.insert(id);
+    }
+  }
   while (loads_left_ > 0) {
     std::optional<Place> best;
     ModelId model;
@@ -313,7 +321,7 @@
       if (worth <= most) {
         continue;
       }
-      if (auto place = FindVacancy(id)) {
+      if (auto place = FindVacancy(id, vacant)) {
         best = std::move(place);
         model = id;
         most = worth;
@@ -327,9 +335,11 @@
   }
 }
 
-std::optional<Planner::Place> Planner::FindVacancy(const ModelId& model) const {
+std::optional<Planner::Place> Planner::FindVacancy(
+    const ModelId& model, const std::set<ServerId>& vacant) const {
   std::optional<Place> best;
-  for (const auto& [id, server] : input_.servers) {
+  for (const ServerId& id : vacant) {
+    const EngineState& server = input_.servers.at(id);
     if (!Free(id) || server.models.contains(model) || !Fits(server, model)) {
       continue;
     }
--- a/libs/serving/src/copies_adapters.cc
+++ b/libs/serving/src/copies_adapters.cc
@@ -17,25 +17,25 @@
   return found == input_.demand.requests.end() ? 0 : found->second;
 }
 
-int Planner::AdapterCount(const EngineState& server) const {
-  int count = 0;
-  for (const auto& [model, adapters] : server.models) {
-    count += static_cast<int>(adapters.size());
-  }
-  return count;
+int Planner::AdapterCount(const ServerId& id) const {
+  const auto found = adapters_held_.find(id);
+  return found == adapters_held_.end() ? 0 : found->second;
 }
 
 std::optional<ServerId> Planner::AdapterPlace(const ModelTarget& target) const {
+  const auto holders = holders_.find(target.model);
+  if (holders == holders_.end()) {
+    return std::nullopt;
+  }
   std::optional<ServerId> best;
   double least = 0;
-  for (const auto& [id, server] : input_.servers) {
-    const auto model = server.models.find(target.model);
-    if (!Free(id) || model == server.models.end() ||
-        model->second.contains(target.adapter) ||
-        AdapterCount(server) >= input_.engine.adapter_slots) {
+  for (const ServerId& id : holders->second) {
+    const EngineState& server = input_.servers.at(id);
+    if (!Free(id) || AdapterCount(id) >= input_.engine.adapter_slots ||
+        server.models.at(target.model).contains(target.adapter)) {
       continue;
     }
-    const double cost = AdapterCount(server) + ServerWork(server) / kBusyWork;
+    const double cost = AdapterCount(id) + ServerWork(server) / kBusyWork;
     if (!best || cost < least) {
       best = id;
       least = cost;
@@ -48,11 +48,15 @@
   std::optional<ServerId> where;
   std::optional<ModelTarget> victim;
   double least = Requests(target);
-  for (const auto& [id, server] : input_.servers) {
-    if (!Free(id) || !server.models.contains(target.model)) {
+  const auto holders = holders_.find(target.model);
+  if (holders == holders_.end()) {
+    return;
+  }
+  for (const ServerId& id : holders->second) {
+    if (!Free(id)) {
       continue;
     }
-    for (const auto& [model, adapters] : server.models) {
+    for (const auto& [model, adapters] : input_.servers.at(id).models) {
       for (const std::string& adapter : adapters) {
         const ModelTarget other{model, adapter};
         const int copies = std::max(1, adapter_copies_[other]);
@@ -75,6 +79,9 @@
 void Planner::PlaceAdapters() {
   std::vector<ModelTarget> missing;
   for (const auto& [id, spec] : input_.engine.models) {
+    if (!holders_.contains(id)) {
+      continue;  // no server can take its adapters
+    }
     for (int number = 1; number <= spec.adapters; ++number) {
       std::string name = std::to_string(number);
       name.insert(0, 1, 'a');
--- a/libs/serving/src/copy_planner.h
+++ b/libs/serving/src/copy_planner.h
@@ -130,9 +130,11 @@
    */
   void FillVacancies();
 
-  std::optional<Place> FindVacancy(const ModelId& model) const;
+  /** @param vacant servers that may have room */
+  std::optional<Place> FindVacancy(const ModelId& model,
+                                   const std::set<ServerId>& vacant) const;
 
-  int AdapterCount(const EngineState& server) const;
+  int AdapterCount(const ServerId& id) const;
 
   /** The server with a free place that has the fewest adapters. */
   std::optional<ServerId> AdapterPlace(const ModelTarget& target) const;
@@ -155,6 +157,9 @@
   bool scarce_ = false;
   std::map<ModelId, int> copies_;
   std::map<ModelTarget, int> adapter_copies_;
+  /** Servers that hold a model, and how many adapters a server holds. */
+  std::map<ModelId, std::vector<ServerId>> holders_;
+  std::map<ServerId, int> adapters_held_;
   std::map<ModelId, int> targets_;
   std::set<ModelId> stuck_;  // no place can be found now
   std::set<ServerId> ordered_;
--- a/libs/serving/tests/change_log_test.cc
+++ b/libs/serving/tests/change_log_test.cc
@@ -91,7 +91,8 @@
     log.Note(Entry("a", i));
   }
   ChangeLog reader;
-  CHECK(reader.Take({3, 5, 0, 1, false, {Entry("a", 5)}}).empty());
+  CHECK(
+      reader.Take({3, 5, 0, 1, false, std::nullopt, {Entry("a", 5)}}).empty());
   CHECK(reader.newest() == 0);
 }
 
@@ -99,7 +100,8 @@
   ChangeLog log;
   log.Note(Entry("stays", 1));
   ChangeLog reader;
-  reader.Take({0, 2, 0, 1, true, {Entry("stays", 1), Entry("gone", 2)}});
+  reader.Take(
+      {0, 2, 0, 1, true, std::nullopt, {Entry("stays", 1), Entry("gone", 2)}});
   store::Revision revision = 2;
   log.Note(Entry("gone", 2));
   log.Note(Removal("gone", ++revision));
@@ -108,13 +110,21 @@
     log.Note(Entry(key, ++revision));
     log.Note(Removal(key, ++revision));
   }
+  // The first answer is short; the reader sees that something is missing.
+  for (const ChangeSet& set : log.Since(reader.ask_after(), kMaxBytes)) {
+    CHECK_FALSE(set.whole);
+    reader.Take(set);
+  }
+  CHECK(reader.newest() == 2);
+  CHECK(reader.ask_after() == 0);
   std::vector<LoggedEntry> news;
-  for (const ChangeSet& set : log.Since(reader.newest(), kMaxBytes)) {
+  for (const ChangeSet& set : log.Since(reader.ask_after(), kMaxBytes)) {
     CHECK(set.whole);
     for (const LoggedEntry& entry : reader.Take(set)) {
       news.push_back(entry);
     }
   }
+  CHECK(reader.newest() == log.newest());
   REQUIRE(news.size() == 1);
   CHECK(news[0].key == "gone");
   CHECK(news[0].removed);
@@ -156,5 +166,40 @@
   });
 }
 
+// Answers a start of all: each instance lists at another moment, while servers
+// register; what one has listed later must not cost others the whole again.
+TEST_CASE("whoever listed earlier gets what changed, not everything") {
+  constexpr int kServers = 300;
+  std::vector<LoggedEntry> listed;
+  for (int i = 1; i <= kServers; ++i) {
+    listed.push_back(Entry(std::string("key").append(std::to_string(i)), i));
+  }
+  ChangeLog earlier;
+  earlier.Replace({listed.begin(), listed.end() - 2}, kServers - 2);
+  ChangeLog later;
+  later.Replace(listed, kServers);
+  const auto sets = later.Since(earlier.ask_after(), kMaxBytes);
+  std::size_t entries = 0;
+  for (const ChangeSet& set : sets) {
+    entries += set.entries.size();
+    earlier.Take(set);
+  }
+  CHECK(entries == 2);
+  CHECK(earlier.newest() == kServers);
+  // And whoever missed a removal between the two notices.
+  ChangeLog third;
+  third.Replace(listed, kServers + 1);
+  ChangeLog fourth;
+  fourth.Replace({listed.begin() + 1, listed.end()}, kServers + 3);
+  for (const ChangeSet& set : fourth.Since(third.ask_after(), kMaxBytes)) {
+    third.Take(set);
+  }
+  CHECK(third.newest() == kServers + 1);
+  for (const ChangeSet& set : fourth.Since(third.ask_after(), kMaxBytes)) {
+    third.Take(set);
+  }
+  CHECK(third.newest() == kServers + 3);
+}
+
 }  // namespace
 }  // namespace figwell::serving
