Copy the members once for many messages, and pace the plans of large fleets

Each message to a domain copied all members' records; with 300 of them that is several times the message's own cost. Plans of 3,000 servers left no time for requests on a small machine, and a new leader asked all servers for reports at once.

--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -97,7 +97,7 @@
 void Edge::TellOfLeaving(const ServerLeavingMessage& message,
                          const std::optional<InstanceId>& from) {
   const DomainId& own = state_.settings.failure_domain;
-  const auto reachable = peers_.Reachable();
+  const auto& reachable = peers_.Reachable();
   const bool from_own_domain =
       from && reachable.contains(*from) && reachable.at(*from) == own;
   if (from_own_domain) {
@@ -159,7 +159,7 @@
       now, standin,
       {message.sums.incarnation, message.instances, message.sums.spending});
   CompareRevisions(from, message.sums);
-  const auto reachable = peers_.Reachable();
+  const auto& reachable = peers_.Reachable();
   const auto sender = reachable.find(from);
   if (sender != reachable.end() &&
       sender->second != state_.settings.failure_domain) {
--- a/apps/edge/peer_group.cc
+++ b/apps/edge/peer_group.cc
@@ -7,6 +7,9 @@
 
 constexpr std::size_t kSecretBytes = 32;
 constexpr std::chrono::milliseconds kSecretRetry{300};
+// Who is there is asked for with each message; copying all members each time
+// costs more than the message in a large fleet.
+constexpr Duration kMembersAge = std::chrono::milliseconds(100);
 // A member that is out of sight may serve on the other side of a partition;
 // after this long it is taken to be gone for good.
 constexpr Duration kForgetDeadAfter = std::chrono::seconds(60);
@@ -159,36 +162,32 @@
   }
 }
 
-template <typename Wanted>
-std::map<InstanceId, DomainId> PeerGroup::MembersThat(Wanted wanted) const {
-  std::map<InstanceId, DomainId> members;
-  if (!node_) {
-    return members;
+const PeerGroup::Snapshot& PeerGroup::Members() const {
+  const TimePoint now = MonotonicNow();
+  if (!node_ || now - snapshot_.taken < kMembersAge) {
+    return snapshot_;
   }
-  for (const peers::Member& member : node_->Members()) {
-    if (wanted(member.record.state)) {
-      members.emplace(member.record.instance, member.record.domain);
+  snapshot_ = {now, node_->Members(), {}, {}};
+  for (const peers::Member& member : snapshot_.members) {
+    const peers::MemberRecord& record = member.record;
+    if (record.state != peers::MemberState::kDead &&
+        record.state != peers::MemberState::kLeft) {
+      snapshot_.reachable.emplace(record.instance, record.domain);
+    }
+    if (record.state == peers::MemberState::kAlive) {
+      snapshot_.live.emplace(record.instance, record.domain);
     }
   }
-  return members;
-}
-
-std::map<InstanceId, DomainId> PeerGroup::Reachable() const {
-  return MembersThat([](peers::MemberState state) {
-    return state != peers::MemberState::kDead &&
-           state != peers::MemberState::kLeft;
-  });
+  return snapshot_;
 }
 
-std::map<InstanceId, DomainId> PeerGroup::Live() const {
-  return MembersThat([](peers::MemberState state) {
-    return state == peers::MemberState::kAlive;
-  });
+const std::map<InstanceId, DomainId>& PeerGroup::Reachable() const {
+  return Members().reachable;
 }
 
 std::set<InstanceId> PeerGroup::LiveInOwnDomain() const {
   std::set<InstanceId> live;
-  for (const auto& [instance, domain] : Live()) {
+  for (const auto& [instance, domain] : Members().live) {
     if (domain == settings_.failure_domain) {
       live.insert(instance);
     }
@@ -197,7 +196,7 @@
 }
 
 std::map<DomainId, InstanceId> PeerGroup::Delegates() const {
-  auto live = Live();
+  auto live = Members().live;
   live.emplace(settings_.instance, settings_.failure_domain);
   std::map<DomainId, InstanceId> delegates;
   for (const auto& [instance, domain] : live) {
@@ -212,7 +211,7 @@
     serving.emplace(instance, registration.domain);
   }
   if (node_) {
-    for (const peers::Member& member : node_->Members()) {
+    for (const peers::Member& member : Members().members) {
       const InstanceId& id = member.record.instance;
       if (member.record.state == peers::MemberState::kLeft) {
         serving.erase(id);
--- a/apps/edge/peer_group.h
+++ b/apps/edge/peer_group.h
@@ -74,7 +74,7 @@
   }
 
   /** Peers that have not left or been given up, with their domains. */
-  std::map<InstanceId, DomainId> Reachable() const;
+  const std::map<InstanceId, DomainId>& Reachable() const;
   /** Those of the own domain that are not under suspicion, but for this one. */
   std::set<InstanceId> LiveInOwnDomain() const;
   /**
@@ -95,11 +95,16 @@
   void SendBytes(const InstanceId& to, MessageKind kind,
                  const std::string& bytes);
   std::string SecretKey() const;
-  /** Peers in a state that `wanted` takes, with their domains. */
-  template <typename Wanted>
-  std::map<InstanceId, DomainId> MembersThat(Wanted wanted) const;
-  /** Peers that are not under suspicion, with their domains. */
-  std::map<InstanceId, DomainId> Live() const;
+  /** Members as they were at most kMembersAge ago. */
+  struct Snapshot {
+    TimePoint taken;
+    std::vector<peers::Member> members;
+    /** Neither left nor given up, with their domains. */
+    std::map<InstanceId, DomainId> reachable;
+    /** Not under suspicion either. */
+    std::map<InstanceId, DomainId> live;
+  };
+  const Snapshot& Members() const;
 
   boost::asio::io_context& context_;
   adapter::StoreClient& store_;
@@ -113,6 +118,7 @@
   std::string document_;
   /** When a member was first seen dead. */
   mutable std::map<InstanceId, TimePoint> dead_since_;
+  mutable Snapshot snapshot_;
 };
 
 }  // namespace figwell::edge
--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -13,6 +13,10 @@
 using telemetry::Event;
 
 constexpr milliseconds kTick{40};
+// Plans of a large fleet leave so many times their own time to requests.
+constexpr int kRestAfterPlan = 5;
+// Reports that are asked for at once: each takes a connection.
+constexpr std::size_t kMostReportsAtOnce = 64;
 // Instances try for a free key at different moments, so that most see that
 // someone else has it; those that hear of it late leave it to the others first.
 constexpr Duration kTakeoverDelayPerInstance = milliseconds(10);
@@ -72,7 +76,8 @@
       }
     }
   }
-  timer_.expires_after(kTick);
+  const Duration took = MonotonicNow() - now;
+  timer_.expires_after(std::max<Duration>(kTick, took * kRestAfterPlan));
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
       Tick();
@@ -237,6 +242,9 @@
 void PlacementHost::ReadReports(TimePoint now, const ServiceId& service) {
   for (const auto& [id, entry] : state_.directory.entries()) {
     const serving::BackendServer& server = entry.server;
+    if (reports_under_way_ >= kMostReportsAtOnce) {
+      return;
+    }
     if (server.service == service && !server.draining &&
         !state_.balancer.IsPaused(now, id) && book_.WantsReport(now, id)) {
       book_.OnReportAsked(now, id);
@@ -249,11 +257,13 @@
   http::CallLimits limits;
   limits.head_timeout = kReportTimeout;
   limits.piece_timeout = kReportTimeout;
+  ++reports_under_way_;
   client_.Fetch(
       server.address, adapter::MakeReportRequest(server.id), limits,
       [this, id = server.id, started_ms = server.started_ms](
           const tl::expected<http::Response, http::ClientError>& response) {
         const TimePoint now = MonotonicNow();
+        --reports_under_way_;
         if (response) {
           NoteServerState(id, started_ms, *response);
         }
--- a/apps/edge/placement_host.h
+++ b/apps/edge/placement_host.h
@@ -102,6 +102,7 @@
   std::map<serving::ModelTarget, TimePoint> asked_;
   std::map<ServerId, PendingUnload> unloads_;
   PlacementMessage announced_;  // still to be sent
+  std::size_t reports_under_way_ = 0;
   TimePoint last_rebalance_;
   TimePoint state_logged_;
 };
