--- a/libs/http/tests/exchange_test.cc
+++ b/libs/http/tests/exchange_test.cc
@@ -108,43 +108,35 @@
   std::vector<ExchangePtr> held;
   Loopback loopback(
       limits, [&](const ExchangePtr& exchange) { held.push_back(exchange); });
-  const auto post = [&](std::string body, int& status) {
-    loopback.client.Fetch(loopback.address, Post(std::move(body)), {},
-                          [&status](const auto& result) {
-                            status = result ? result->status : -1;
+  std::vector<int> statuses;
+  const auto post = [&] {
+    loopback.client.Fetch(loopback.address, Post(std::string(700, 'a')), {},
+                          [&](const auto& result) {
+                            statuses.push_back(result ? result->status : -1);
                           });
   };
-  int first = 0;
-  int second = 0;
-  post(std::string(700, 'a'), first);
-  while (held.empty()) {
-    loopback.context.run_one();
-  }
-  post(std::string(700, 'b'), second);
-  while (second == 0) {
-    loopback.context.run_one();
-  }
-  CHECK(second == 400);  // what this test's server rejects with
+  const auto run_until = [&](std::size_t holds, std::size_t answers) {
+    while (held.size() < holds || statuses.size() < answers) {
+      loopback.context.run_one();
+    }
+  };
+  post();
+  run_until(1, 0);
+  post();
+  run_until(1, 1);
+  CHECK(statuses == std::vector{400});  // what this test's server rejects with
   REQUIRE(loopback.rejected.size() == 1);
   CHECK(loopback.rejected[0] == RejectReason::kTooManyBytes);
   held[0]->Send({200, {}, "done"});
   held.clear();
-  while (first == 0) {
-    loopback.context.run_one();
-  }
-  CHECK(first == 200);
+  run_until(0, 2);
   // The first one's bytes are free again.
-  int third = 0;
-  post(std::string(700, 'c'), third);
-  while (held.empty()) {
-    loopback.context.run_one();
-  }
+  post();
+  run_until(1, 2);
   held[0]->Send({200, {}, "done"});
   held.clear();
-  while (third == 0) {
-    loopback.context.run_one();
-  }
-  CHECK(third == 200);
+  run_until(0, 3);
+  CHECK(statuses == std::vector{400, 200, 200});
 }
 
 TEST_CASE("raw requests that cannot be read get an answer, not a crash") {
