--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -106,7 +106,8 @@
 
 void Edge::OnChangesWanted(const InstanceId& from,
                            const ChangesWantedMessage& wanted) {
-  for (serving::ChangeSet& set : ViewOf(wanted.view).Since(wanted.after)) {
+  for (serving::ChangeSet& set :
+       ViewOf(wanted.view).Since(MonotonicNow(), wanted.after)) {
     peers_.Send(from, MessageKind::kChanges,
                 ChangesMessage{wanted.view, std::move(set)});
   }
--- a/apps/edge/shared_view.cc
+++ b/apps/edge/shared_view.cc
@@ -9,6 +9,10 @@
 constexpr std::size_t kBytesInMessage = 850;
 // A lost question or answer is repeated after this.
 constexpr Duration kAskInterval = milliseconds(60);
+// Half of the link of the smallest machine, 20 Mbit/s; what is over it would be
+// lost, and asked for again.
+constexpr std::int64_t kAnswerBytesPerSecond = 1'250'000;
+constexpr Duration kLongestBacklog = milliseconds(250);
 // Beyond the pause between watches, a peer's word is newer than the store's.
 constexpr Duration kAskAfter = milliseconds(300);
 // Peers that know more for so long show that nothing is heard here. Whoever
@@ -107,8 +111,17 @@
   }
 }
 
-std::vector<serving::ChangeSet> SharedView::Since(store::Revision after) const {
-  return log_.Since(after, kBytesInMessage);
+std::vector<serving::ChangeSet> SharedView::Since(TimePoint now,
+                                                  store::Revision after) {
+  if (answered_until_ > now + kLongestBacklog) {
+    return {};
+  }
+  auto sets = log_.Since(after, kBytesInMessage);
+  const auto bytes = static_cast<std::int64_t>(sets.size() * kBytesInMessage);
+  answered_until_ =
+      std::max(answered_until_, now) +
+      Duration(bytes * Duration::period::den / kAnswerBytesPerSecond);
+  return sets;
 }
 
 }  // namespace figwell::edge
--- a/apps/edge/shared_view.h
+++ b/apps/edge/shared_view.h
@@ -47,8 +47,11 @@
   void OnPeer(TimePoint now, const InstanceId& peer, store::Revision newest);
   /** A part of a peer's answer. */
   void OnChanges(const serving::ChangeSet& set);
-  /** What a peer that asks has missed, in parts that fit into datagrams. */
-  std::vector<serving::ChangeSet> Since(store::Revision after) const;
+  /**
+   * What a peer that asks has missed, in parts that fit into datagrams; nothing
+   * while answers to others take what the link can carry. It asks again.
+   */
+  std::vector<serving::ChangeSet> Since(TimePoint now, store::Revision after);
 
   /** Whether peers may rely on this instance. */
   bool Follows() const {
@@ -72,6 +75,8 @@
   store::Revision missing_ = 0;
   std::optional<TimePoint> behind_since_;
   TimePoint asked_;
+  /** When the answers that were given will have left. */
+  TimePoint answered_until_;
 };
 
 }  // namespace figwell::edge
--- a/libs/serving/include/figwell/serving/change_log.h
+++ b/libs/serving/include/figwell/serving/change_log.h
@@ -100,6 +100,8 @@
 
   /** Covers the keys that exist, with their revisions. */
   std::uint64_t Digest() const;
+  /** Whether the newest state of some key is later than the revision. */
+  bool KnowsBeyond(store::Revision revision) const;
   /** Keeps the entry if it is newer; what is complete stays as it is. */
   bool Keep(const LoggedEntry& entry);
   void RememberRemoval(const std::string& key);
--- a/libs/serving/src/change_log.cc
+++ b/libs/serving/src/change_log.cc
@@ -93,6 +93,12 @@
   return digest;
 }
 
+bool ChangeLog::KnowsBeyond(store::Revision revision) const {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
+    return item.second.revision > revision;
+  });
+}
+
 std::vector<ChangeSet> ChangeLog::Since(store::Revision after,
                                         std::size_t max_bytes) const {
   ChangeSet frame;
@@ -148,8 +154,11 @@
     forgotten_ = std::max(forgotten_, set.upto);
   }
   pending_.reset();
-  want_whole_ = set.digest && *set.digest != Digest();
-  if (!want_whole_) {
+  const bool same = !set.digest || *set.digest == Digest();
+  // Whoever knows less of some key than is known here cannot tell what is
+  // missing here.
+  want_whole_ = !same && !KnowsBeyond(set.upto);
+  if (same) {
     newest_ = set.upto;
     // Whoever asks here may have missed removals that are not known here.
     forgotten_ = set.digest ? std::max(forgotten_, set.upto) : forgotten_;
