Begin watches anew that the store dropped when it was away

Cause, from the logs: after an outage from 12.4 to 17.5 s all nine instances heard of no change until 29.86 s. Their watches had been dropped without a word and ran into their own time of 16 s; since all had lost theirs together, no peer knew anything newer.

Change: once a call is answered after one that was not, watches that began before are begun anew.

Revisions that another domain knows are compared only with whoever speaks for it: whoever passes its sums on could not answer for them, and in a large domain all instances then followed the store themselves after 600 ms.

--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -158,11 +158,12 @@
   state_.allowances.OnPeer(
       now, standin,
       {message.sums.incarnation, message.instances, message.sums.spending});
-  CompareRevisions(from, message.sums);
   const auto& reachable = peers_.Reachable();
   const auto sender = reachable.find(from);
   if (sender != reachable.end() &&
       sender->second != state_.settings.failure_domain) {
+    // Whoever passes the sums on need not know those changes yet.
+    CompareRevisions(from, message.sums);
     peers_.SendToOwnDomain(MessageKind::kDomainStatus, message);
   }
 }
--- a/apps/edge/store_follower.cc
+++ b/apps/edge/store_follower.cc
@@ -27,7 +27,9 @@
       prefix_(std::move(prefix)),
       wait_(std::min(kLongestWait, history * kWaitTenthsOfHistory / 10)),
       callbacks_(std::move(callbacks)),
-      random_(StableHash(RandomHex(8))) {}
+      random_(StableHash(RandomHex(8))) {
+  store_.OnBack([this](TimePoint unanswered) { OnStoreBack(unanswered); });
+}
 
 void StoreFollower::Start() {
   following_ = true;
@@ -60,6 +62,7 @@
 }
 
 void StoreFollower::List() {
+  watching_since_.reset();
   store_.List(prefix_,
               [this, round = round_](const Result<adapter::Listing>& listing) {
                 if (round != round_) {
@@ -77,7 +80,21 @@
               });
 }
 
+void StoreFollower::OnStoreBack(TimePoint unanswered) {
+  if (!following_ || !watching_since_ || *watching_since_ > unanswered) {
+    return;
+  }
+  telemetry::Log(Event::kDependencyRegained,
+                 "a watch from before the store was away is begun anew",
+                 {{"dependency", "store"},
+                  {"prefix", prefix_},
+                  {"after", std::to_string(after_)}});
+  ++round_;
+  Watch();
+}
+
 void StoreFollower::Watch() {
+  watching_since_ = MonotonicNow();
   store_.Watch(prefix_, after_, wait_,
                [this, round = round_](const Result<store::WatchBatch>& batch) {
                  if (round == round_) {
@@ -87,6 +104,7 @@
 }
 
 void StoreFollower::OnWatched(const Result<store::WatchBatch>& batch) {
+  watching_since_.reset();
   if (!batch) {
     const bool compacted = batch.error().code == ErrorCode::kConflict;
     if (compacted) {
--- a/apps/edge/store_follower.h
+++ b/apps/edge/store_follower.h
@@ -58,6 +58,8 @@
   void List();
   void Watch();
   void OnWatched(const Result<store::WatchBatch>& batch);
+  /** Waits anew if the present watch began before the store was away. */
+  void OnStoreBack(TimePoint unanswered);
   void OnFailure(const Error& error, bool list_again);
   void OnAnswer();
   void Later(Duration delay, bool list_again);
@@ -76,6 +78,8 @@
   bool away_ = false;
   int failures_ = 0;
   TimePoint failing_since_;
+  /** When the watch that is under way began, if one is. */
+  std::optional<TimePoint> watching_since_;
   store::Revision after_ = 0;
 };
 
