Say once what a reading of the change found twice

Cause: what a server's own answer says of it was taken up in two places, and the one for reports and orders did not count pauses in figwell_server_pauses_total; it does now. Which servers could take a target was written out three times (Choose, FirstFree, SomeoneHolds), and FirstFree copied a request's needs, before a check that needs neither.

--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "log_text.h"
+#include "server_state.h"
 
 namespace figwell::edge {
 namespace {
@@ -265,7 +265,9 @@
         const TimePoint now = MonotonicNow();
         --reports_under_way_;
         if (response) {
-          NoteServerState(id, started_ms, *response);
+          NoteServerState(
+              state_, id, started_ms,
+              adapter::ReadAnswer({}, response->status, response->headers), {});
         }
         const auto report =
             response ? adapter::DecodeReport(*response)
@@ -284,21 +286,6 @@
       adapter::AnswersOwnCall);
 }
 
-void PlacementHost::NoteServerState(const ServerId& server,
-                                    std::int64_t started_ms,
-                                    const http::Response& response) {
-  const adapter::AnswerHead head =
-      adapter::ReadAnswer({}, response.status, response.headers);
-  if (head.leaving) {
-    state_.on_server_leaving(server, started_ms);
-  }
-  if (head.pause) {
-    state_.balancer.OnPause(MonotonicNow(), server, *head.pause);
-    telemetry::Log(Event::kServerPaused, {},
-                   {{"server", server.value()}, {"pause_ms", Ms(*head.pause)}});
-  }
-}
-
 // ----------------------------------------------------------------- planning
 
 void PlacementHost::Plan(TimePoint now, const serving::ServiceSpec& service) {
--- a/apps/edge/placement_host.h
+++ b/apps/edge/placement_host.h
@@ -58,9 +58,6 @@
 
   void ReadReports(TimePoint now, const ServiceId& service);
   void ReadReport(const serving::BackendServer& server);
-  /** Takes up that a server leaves or wants a pause, from its own answer. */
-  void NoteServerState(const ServerId& server, std::int64_t started_ms,
-                       const http::Response& response);
   void Plan(TimePoint now, const serving::ServiceSpec& service);
   /** How far ahead demand is forecast: until a load has ended. */
   Duration ForecastTime(const serving::ServiceSpec& service) const;
--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -1,4 +1,5 @@
 #include "placement_host.h"
+#include "server_state.h"
 
 namespace figwell::edge {
 namespace {
@@ -88,7 +89,9 @@
       [this, order, started_ms = server->started_ms](
           const tl::expected<http::Response, http::ClientError>& response) {
         if (response) {
-          NoteServerState(order.server, started_ms, *response);
+          NoteServerState(
+              state_, order.server, started_ms,
+              adapter::ReadAnswer({}, response->status, response->headers), {});
         }
         OnOrderAnswer(order, response);
       },
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -73,7 +73,6 @@
   void OnPiece(std::string_view piece, std::function<void()> resume);
   void OnStreamPiece(std::string_view piece, std::function<void()> resume);
   void OnWholePiece(std::string_view piece, std::function<void()> resume);
-  void NoteServerState();
   /** Whether so many bytes more may be kept of the present answer. */
   bool Hold(std::size_t bytes);
   void ReleaseHeld(std::size_t bytes);
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -79,9 +79,12 @@
 }
 
 bool CallerRequest::RefuseWhilePaused() {
+  if (may_have_run_) {
+    return false;
+  }
   const TimePoint now = MonotonicNow();
   const auto free = state_.balancer.FirstFree(now, state_.directory, needs_);
-  if (may_have_run_ || !free) {
+  if (!free) {
     return false;
   }
   const Duration wait = std::max(*free - now, serving::kShortestRetryAfter);
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -1,7 +1,7 @@
 #include <utility>
 
-#include "log_text.h"
 #include "request.h"
+#include "server_state.h"
 
 namespace figwell::edge {
 namespace {
@@ -20,7 +20,11 @@
   status_ = status;
   answer_headers_ = headers;
   answer_ = adapter::ReadAnswer(head_.id, status, headers);
-  NoteServerState();
+  if (answer_.load) {
+    state_.balancer.OnReportedLoad(now, choice_.server, *answer_.load);
+  }
+  NoteServerState(state_, choice_.server, choice_.started_ms, answer_,
+                  head_.id);
   streaming_ = route_->kind == serving::RequestKind::kStreaming &&
                IsSuccess() && answer_.sealed && answer_.named;
   if (!streaming_ && IsSuccess() && attempt_) {
@@ -28,24 +32,6 @@
   }
 }
 
-void CallerRequest::NoteServerState() {
-  const TimePoint now = MonotonicNow();
-  if (answer_.load) {
-    state_.balancer.OnReportedLoad(now, choice_.server, *answer_.load);
-  }
-  if (answer_.leaving) {
-    state_.on_server_leaving(choice_.server, choice_.started_ms);
-  }
-  if (answer_.pause) {
-    state_.balancer.OnPause(now, choice_.server, *answer_.pause);
-    state_.metrics.GetCounter("figwell_server_pauses_total").Add();
-    telemetry::Log(telemetry::Event::kServerPaused, {},
-                   {{"request", head_.id.value()},
-                    {"server", choice_.server.value()},
-                    {"pause_ms", Ms(*answer_.pause)}});
-  }
-}
-
 bool CallerRequest::Hold(std::size_t bytes) {
   if (!state_.held_answers.Take(held_, bytes)) {
     return false;
--- a/libs/http/tests/exchange_test.cc
+++ b/libs/http/tests/exchange_test.cc
@@ -1,5 +1,6 @@
 #include <boost/asio.hpp>
 
+#include "address.h"
 #include "figwell/http.h"
 #include "figwell/testing.h"
 
@@ -36,10 +37,7 @@
   // Sends raw bytes and reads until the server closes.
   std::string SendRaw(const std::string& bytes) {
     tcp::socket socket(context);
-    const auto colon = address.rfind(':');
-    socket.connect(
-        {asio::ip::make_address("127.0.0.1"),
-         static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+    socket.connect(ParseEndpoint(address).value());
     asio::write(socket, asio::buffer(bytes));
     std::string answer;
     bool done = false;
@@ -164,10 +162,7 @@
  public:
   RawClient(asio::io_context& context, const std::string& address)
       : context_(context), socket_(context) {
-    const auto colon = address.rfind(':');
-    socket_.connect(
-        {asio::ip::make_address("127.0.0.1"),
-         static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+    socket_.connect(ParseEndpoint(address).value());
   }
 
   // Sends a piece and lets the server read it.
@@ -243,10 +238,7 @@
 
 TEST_CASE("connections made just before a server stops are served") {
   Loopback loopback({}, Echo);
-  const auto colon = loopback.address.rfind(':');
-  const tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"),
-                               static_cast<std::uint16_t>(std::stoi(
-                                   loopback.address.substr(colon + 1))));
+  const tcp::endpoint endpoint = ParseEndpoint(loopback.address).value();
   std::vector<tcp::socket> sockets;
   for (int i = 0; i < 5; ++i) {
     sockets.emplace_back(loopback.context).connect(endpoint);
@@ -275,8 +267,7 @@
 TEST_CASE("heads that answer nothing are bounded in number and time") {
   asio::io_context context;
   tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-  const std::string address =
-      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  const std::string address = FormatEndpoint(acceptor.local_endpoint());
   std::shared_ptr<tcp::socket> served;
   acceptor.async_accept([&](boost::system::error_code, tcp::socket socket) {
     served = std::make_shared<tcp::socket>(std::move(socket));
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -209,9 +209,9 @@
 
   bool Holds(TimePoint now, const BackendServer& server,
              const ModelTarget& target) const;
-  /** Whether the request may go there, but for a pause. */
-  bool IsCandidate(TimePoint now, const BackendServer& server,
-                   const RequestNeeds& needs) const;
+  /** Whether requests for the target may go there, but for a pause. */
+  bool Serves(TimePoint now, const BackendServer& server,
+              const ServiceId& service, const ModelTarget& target) const;
   /** Whether the server is paused, or just returning and busy. */
   bool IsPassedBy(TimePoint now, const ServerId& server) const;
   /** Whether an announcement goes before what the registry says. */
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -92,9 +92,7 @@
                             const ModelTarget& target) const {
   return std::any_of(directory.entries().begin(), directory.entries().end(),
                      [&](const auto& item) {
-                       const BackendServer& server = item.second.server;
-                       return server.service == service && !server.draining &&
-                              Holds(now, server, target);
+                       return Serves(now, item.second.server, service, target);
                      });
 }
 
@@ -240,10 +238,11 @@
   return home;
 }
 
-bool Balancer::IsCandidate(TimePoint now, const BackendServer& server,
-                           const RequestNeeds& needs) const {
-  return server.service == needs.service && !server.draining &&
-         !needs.tried.contains(server.id) && Holds(now, server, needs.target);
+bool Balancer::Serves(TimePoint now, const BackendServer& server,
+                      const ServiceId& service,
+                      const ModelTarget& target) const {
+  return server.service == service && !server.draining &&
+         Holds(now, server, target);
 }
 
 bool Balancer::IsPassedBy(TimePoint now, const ServerId& server) const {
@@ -263,12 +262,10 @@
 std::optional<TimePoint> Balancer::FirstFree(TimePoint now,
                                              const Directory& directory,
                                              const RequestNeeds& needs) const {
-  // Whoever comes back may be sent to all of them again.
-  RequestNeeds later = needs;
-  later.tried.clear();
   std::optional<TimePoint> first;
   for (const auto& [id, entry] : directory.entries()) {
-    if (!IsCandidate(now, entry.server, later)) {
+    // Whoever comes back may be sent to those that it tried, too.
+    if (!Serves(now, entry.server, needs.service, needs.target)) {
       continue;
     }
     if (!IsPassedBy(now, id)) {
@@ -286,7 +283,9 @@
   std::vector<const BackendServer*> candidates;
   for (const auto& [id, entry] : directory.entries()) {
     const BackendServer& server = entry.server;
-    if (IsCandidate(now, server, needs) && !IsPassedBy(now, id)) {
+    if (!needs.tried.contains(id) &&
+        Serves(now, server, needs.service, needs.target) &&
+        !IsPassedBy(now, id)) {
       candidates.push_back(&server);
     }
   }
