--- a/apps/edge/log_text.h
+++ b/apps/edge/log_text.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "figwell/core.h"
+#include "figwell/serving.h"
 
 namespace figwell::edge {
 
@@ -13,6 +14,12 @@
   return std::to_string(duration / std::chrono::milliseconds(1));
 }
 
+/** MODEL, or MODEL/ADAPTER. */
+inline std::string TargetText(const serving::ModelTarget& target) {
+  return target.adapter.empty() ? target.model.value()
+                                : target.model.value() + "/" + target.adapter;
+}
+
 }  // namespace figwell::edge
 
 #endif  // FIGWELL_APPS_EDGE_LOG_TEXT_H_
--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -1,3 +1,4 @@
+#include "log_text.h"
 #include "placement_host.h"
 #include "server_state.h"
 
@@ -18,11 +19,6 @@
 // An adapter that makes way is one that nobody asks for.
 constexpr Duration kAdapterNotice = milliseconds(20);
 
-std::string TargetText(const serving::ModelTarget& target) {
-  return target.adapter.empty() ? target.model.value()
-                                : target.model.value() + "/" + target.adapter;
-}
-
 }  // namespace
 
 void PlacementHost::Carry(TimePoint now, const serving::CopyMove& move) {
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -1,5 +1,7 @@
 #include "request.h"
 
+#include <fmt/format.h>
+
 #include "log_text.h"
 
 namespace figwell::edge {
@@ -106,6 +108,10 @@
   return false;
 }
 
+std::string CallerRequest::PromptText() const {
+  return head_.parts.empty() ? "" : fmt::format("{:x}", head_.parts.back().id);
+}
+
 void CallerRequest::RefundTeam() {
   if (charged_ > 0) {
     state_.allowances.Refund(MonotonicNow(), team_, charged_);
@@ -202,6 +208,9 @@
                   {"after_ms", Ms(Elapsed())},
                   {"retry_after_ms", retry_after ? Ms(*retry_after) : ""},
                   {"sends", std::to_string(sends_)},
+                  {"target", TargetText(head_.target)},
+                  {"prompt", PromptText()},
+                  {"tokens", std::to_string(head_.prompt_tokens.value_or(0))},
                   {"detail", std::string(detail)}});
   caller_->Send(adapter::MakeRefusal(head_.id, reason, retry_after));
   Finish("refused");
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -45,6 +45,8 @@
   void Finish(std::string_view outcome);
   void StopAttempt(serving::AttemptEnd end);
   void RefundTeam();
+  /** Its own part of the prompt, which stays when its caller comes back. */
+  std::string PromptText() const;
   Duration Elapsed() const { return MonotonicNow() - arrived_; }
   Duration Remaining() const { return deadline_ - MonotonicNow(); }
 
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -144,20 +144,21 @@
   ++sends_;
   needs_.tried.insert(choice.server);
   attempt_ = state_.balancer.OnSent(now, choice, needs_);
-  telemetry::Log(
-      Event::kAttemptSent, {},
-      {{"request", head_.id.value()},
-       {"team", team_.value()},
-       {"route", route_->id.value()},
-       {"server", choice.server.value()},
-       {"target", needs_.target.model.value() + "/" + needs_.target.adapter},
-       {"config", std::to_string(catalog_->number())},
-       {"expected_ms", Ms(choice.expected)},
-       {"wait_ms", Ms(choice.wait)},
-       {"in_flight", std::to_string(choice.in_flight)},
-       {"cached", std::to_string(choice.cached_tokens)},
-       {"remaining_ms", Ms(*head.remaining)},
-       {"send", std::to_string(sends_)}});
+  telemetry::Log(Event::kAttemptSent, {},
+                 {{"request", head_.id.value()},
+                  {"team", team_.value()},
+                  {"route", route_->id.value()},
+                  {"server", choice.server.value()},
+                  {"target", TargetText(needs_.target)},
+                  {"prompt", PromptText()},
+                  {"tokens", std::to_string(needs_.prompt_tokens)},
+                  {"config", std::to_string(catalog_->number())},
+                  {"expected_ms", Ms(choice.expected)},
+                  {"wait_ms", Ms(choice.wait)},
+                  {"in_flight", std::to_string(choice.in_flight)},
+                  {"cached", std::to_string(choice.cached_tokens)},
+                  {"remaining_ms", Ms(*head.remaining)},
+                  {"send", std::to_string(sends_)}});
   status_ = 0;
   answer_ = {};
   body_.clear();
