Do not hand over an order after a freeze that outlasts it

The instance that had led was frozen 3 ms after it gave the order, while the connection was being made. On waking, the event loop found the connection made before the timer over, and wrote the order 7.3 s late.

Change: CallLimits::write_before, asked before the first byte is written, and set for orders. late_write_test plays a freeze while a connection is made; it fails on the code before (the bytes arrive) and passes now.

--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -77,6 +77,7 @@
   http::CallLimits limits;
   limits.head_timeout = kOrderTimeout;
   limits.piece_timeout = kOrderTimeout;
+  limits.write_before = now + kOrderTimeout;
   client_.Fetch(
       server->address,
       adapter::MakeOrderRequest(order, state_.settings.instance.value(),
--- a/libs/http/include/figwell/http.h
+++ b/libs/http/include/figwell/http.h
@@ -283,6 +283,12 @@
    * reset is an error all the same.
    */
   bool allow_unframed = false;
+  /**
+   * When the request stops being true, by MonotonicNow(): a process that was
+   * frozen while it connected must not hand it over afterwards. Timers do not
+   * guard against that: the connection is found to be made first.
+   */
+  std::optional<TimePoint> write_before;
 };
 
 /** Where the parts of an answer go. Exactly one of on_end, on_error is last. */
--- a/libs/http/src/call.cc
+++ b/libs/http/src/call.cc
@@ -114,6 +114,10 @@
   if (finished_) {
     return;
   }
+  if (limits_.write_before && MonotonicNow() >= *limits_.write_before) {
+    Fail(Stage::kFirstByte, {}, "too late to be sent");
+    return;
+  }
   stream_->expires_after(pool_->limits().write_timeout);
   asio::async_write(
       *stream_, asio::buffer(request_bytes_),
--- /dev/null
+++ b/libs/http/tests/late_write_test.cc
@@ -0,0 +1,88 @@
+#include <array>
+#include <boost/asio.hpp>
+#include <thread>
+
+#include "figwell/http.h"
+#include "figwell/testing.h"
+
+// Answers a process that is frozen while it makes a connection: the kernel goes
+// on without it, and all its timers are over when it wakes.
+
+namespace figwell::http {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kValid{20};
+constexpr milliseconds kFrozen{60};
+
+struct Outcome {
+  std::optional<ClientError> error;
+  std::string received;
+};
+
+std::string LoopbackAddress(const tcp::acceptor& acceptor) {
+  std::string address("127.0.0.1:");
+  address.append(std::to_string(acceptor.local_endpoint().port()));
+  return address;
+}
+
+/** Sends a request that is valid for a while and stands still meanwhile. */
+Outcome SendAndFreeze(const CallLimits& limits, milliseconds frozen) {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  Client client(context, {});
+  Outcome outcome;
+  bool answered = false;
+  Request request;
+  request.method = "POST";
+  request.target = std::string("/order");
+  request.body = "order";
+  client.Fetch(LoopbackAddress(acceptor), request, limits,
+               [&](const tl::expected<Response, ClientError>& response) {
+                 answered = true;
+                 if (!response) {
+                   outcome.error = response.error();
+                 }
+               });
+  context.run_one();  // begins to connect; the kernel goes on by itself
+  std::this_thread::sleep_for(frozen);
+  tcp::socket accepted(context);
+  acceptor.accept(accepted);
+  std::array<char, 1'024> bytes{};
+  accepted.async_read_some(
+      asio::buffer(bytes),
+      [&](const boost::system::error_code& error, std::size_t size) {
+        outcome.received.assign(bytes.data(), size);
+        if (!error) {
+          constexpr std::string_view kAnswer =
+              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+          asio::write(accepted, asio::buffer(kAnswer));
+        }
+      });
+  while (!answered) {
+    context.run_one();
+  }
+  context.poll();
+  return outcome;
+}
+
+TEST_CASE("a request is not handed over after a freeze that outlasts it") {
+  CallLimits limits;
+  limits.write_before = MonotonicNow() + kValid;
+  const Outcome outcome = SendAndFreeze(limits, kFrozen);
+  CHECK(outcome.received.empty());
+  REQUIRE(outcome.error);
+  CHECK(outcome.error->NothingWasSent());
+}
+
+TEST_CASE("a request without such a bound outlasts a freeze") {
+  const Outcome outcome = SendAndFreeze({}, kFrozen);
+  CHECK_FALSE(outcome.error);
+  CHECK(outcome.received.ends_with("order"));
+}
+
+}  // namespace
+}  // namespace figwell::http
