Log the longest pause of each stream

Cause: whether a stream was late for its first event or for a pause could not be told from the logs. request_ended now has pause_ms.

--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -257,6 +257,7 @@
                   {"sends", std::to_string(sends_)},
                   {"events", std::to_string(events_)},
                   {"first_ms", first_byte_ ? Ms(first_byte_after_) : ""},
+                  {"pause_ms", Ms(longest_pause_)},
                   {"took_ms", Ms(Elapsed())}});
 }
 
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -74,6 +74,7 @@
   void OnHead(int status, const http::Headers& headers);
   void OnPiece(std::string_view piece, std::function<void()> resume);
   void OnStreamPiece(std::string_view piece, std::function<void()> resume);
+  void NoteEvents();
   void OnWholePiece(std::string_view piece, std::function<void()> resume);
   /** Whether so many bytes more may be kept of the present answer. */
   bool Hold(std::size_t bytes);
@@ -138,6 +139,9 @@
   bool caller_reads_ = false;
   /** When the last whole event was passed on, or the request was sent. */
   TimePoint progress_at_;
+  TimePoint last_event_at_;
+  /** Between two events of the stream that the caller got. */
+  Duration longest_pause_{0};
   bool first_byte_ = false;
   Duration first_byte_after_{0};
   std::optional<std::uint64_t> last_event_;
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "request.h"
@@ -118,6 +119,15 @@
   });
 }
 
+void CallerRequest::NoteEvents() {
+  const TimePoint now = MonotonicNow();
+  if (relaying_) {
+    longest_pause_ = std::max(longest_pause_, now - last_event_at_);
+  }
+  last_event_at_ = now;
+  progress_at_ = now;
+}
+
 void CallerRequest::OnStreamPiece(std::string_view piece,
                                   std::function<void()> resume) {
   if (attempt_) {
@@ -132,7 +142,7 @@
     return;
   }
   if (!events->empty()) {
-    progress_at_ = MonotonicNow();
+    NoteEvents();
   }
   std::string relayed;
   for (const http::StreamEvent& event : *events) {
