Count orders without an answer as what they may do, and read again what differs

An unload had no answer (its server carried it out seconds later). Peers had been told that the copy goes and did not use it; the leader read the server again, found the copy, and counted it as ready. When the other copy's server crashed, nobody loaded a third. Loads without an answer were not counted at all until the server was read again: one model was loaded four times within 0.6 s, of the two loads a second that the weight store allows.

Change: a load under way or without an answer counts as loading until a report says otherwise (PossiblyLoading). A copy whose unload had no answer and that a report still shows is announced again. A server whose entry in the registry differs from what the leader knows, for longer than the entry may be old, is read again (Reconcile), which finds late unloads and late loads.

The test of a load's end compares with a target now, as OnReport returns one.

--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -279,8 +279,8 @@
                          {{"server", id.value()}});
           return;
         }
-        if (const auto loaded = book_.OnReport(now, id, *report)) {
-          Announce(id, {*loaded, {}}, true);
+        if (const auto held = book_.OnReport(now, id, *report)) {
+          Announce(id, *held, true);
         }
       },
       adapter::AnswersOwnCall);
@@ -295,14 +295,18 @@
       continue;
     }
     serving::EngineState engine;
+    book_.Reconcile(now, id, entry.server.models,
+                    state_.settings.bounds.registry_lag);
     const serving::EngineView* view = book_.Find(id);
     if (view == nullptr) {
       // Not read yet: what the registry says keeps its copies counted.
       engine.models = entry.server.models;
+      engine.loading = book_.PossiblyLoading(id);
     } else {
       engine.models = view->models;
       engine.at_hand = view->at_hand;
-      engine.loading = view->loading;
+      engine.loading =
+          view->loading ? view->loading : book_.PossiblyLoading(id);
       engine.loads = !view->unloading;
       engine.orderable = book_.Orderable(now, id) != nullptr &&
                          !unloads_.contains(id) &&
--- a/libs/serving/include/figwell/serving/orders.h
+++ b/libs/serving/include/figwell/serving/orders.h
@@ -69,6 +69,7 @@
   TimePoint load_done;  ///< when the load should have ended
   std::int64_t accepted = 0;
 
+  bool Holds(const ModelTarget& target) const;
   friend bool operator==(const EngineView&, const EngineView&) = default;
 };
 
@@ -88,11 +89,24 @@
   /** Whether the server's report should be read now. */
   bool WantsReport(TimePoint now, const ServerId& server) const;
   void OnReportAsked(TimePoint now, const ServerId& server);
-  /** @return whether a load was seen to have ended */
-  std::optional<ModelId> OnReport(TimePoint now, const ServerId& server,
-                                  const EngineReport& report);
+  /**
+   * @return what the server holds although peers may think that it does not: a
+   *   load has ended, or an unload without an answer was not carried out so far
+   */
+  std::optional<ModelTarget> OnReport(TimePoint now, const ServerId& server,
+                                      const EngineReport& report);
   void OnReportFailed(TimePoint now, const ServerId& server);
 
+  /**
+   * Compares the server's state with its entry in the registry. If they differ
+   * for longer than the entry may be old, the report is read again: an order
+   * that was given up may have been carried out late.
+   * @param lag how old the entry may be
+   */
+  void Reconcile(TimePoint now, const ServerId& server,
+                 const std::map<ModelId, std::set<std::string>>& registered,
+                 Duration lag);
+
   /** The server's state; null unless it may be given an order now. */
   const EngineView* Orderable(TimePoint now, const ServerId& server) const;
   /** The server's state as far as known, also while an order is under way. */
@@ -105,6 +119,8 @@
   void OnOutcome(TimePoint now, const Order& order, OrderOutcome outcome,
                  Duration load_time);
 
+  /** A model whose load was ordered, and perhaps accepted. */
+  std::optional<ModelId> PossiblyLoading(const ServerId& server) const;
   /** Whether a load of the model was ordered and may not have ended. */
   bool Loading(const ServerId& server, const ModelId& model) const;
   /** Loads of models that have not ended, over all servers. */
@@ -117,8 +133,13 @@
     bool asked = false;
     TimePoint ask_at;
     std::optional<Order> sent;
+    /** Had no answer, and no report has shown yet what came of it. */
+    std::optional<Order> unsure;
+    /** The registry says otherwise. */
+    bool doubted = false;
     /** The last change by an order of this process. */
     TimePoint changed;
+    TimePoint reported;
   };
 
   std::map<ServerId, State> states_;
--- a/libs/serving/src/orders.cc
+++ b/libs/serving/src/orders.cc
@@ -1,6 +1,7 @@
 #include "figwell/serving/orders.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace figwell::serving {
 namespace {
@@ -39,6 +40,12 @@
   return "unknown";
 }
 
+bool EngineView::Holds(const ModelTarget& target) const {
+  const auto model = models.find(target.model);
+  return model != models.end() &&
+         (target.adapter.empty() || model->second.contains(target.adapter));
+}
+
 void OrderBook::Clear() { states_.clear(); }
 
 void OrderBook::Forget(const ServerId& server) { states_.erase(server); }
@@ -52,16 +59,17 @@
   if (state.asked || state.sent || now < state.ask_at) {
     return false;
   }
-  return !state.known || (state.view.loading && now >= state.view.load_done);
+  return !state.known || state.doubted ||
+         (state.view.loading && now >= state.view.load_done);
 }
 
 void OrderBook::OnReportAsked(TimePoint, const ServerId& server) {
   states_[server].asked = true;
 }
 
-std::optional<ModelId> OrderBook::OnReport(TimePoint now,
-                                           const ServerId& server,
-                                           const EngineReport& report) {
+std::optional<ModelTarget> OrderBook::OnReport(TimePoint now,
+                                               const ServerId& server,
+                                               const EngineReport& report) {
   State& state = states_[server];
   state.asked = false;
   state.ask_at = now + kLoadPoll;
@@ -76,8 +84,11 @@
     // Made before an order without an answer could have shown.
     return std::nullopt;
   }
-  std::optional<ModelId> was_loading = state.view.loading;
+  const std::optional<ModelId> was_loading = state.view.loading;
+  const auto unsure = std::exchange(state.unsure, std::nullopt);
   state.known = true;
+  state.doubted = false;
+  state.reported = now;
   state.view.accepted = report.accepted;
   state.view.models = report.models;
   for (const ModelTarget& target : report.pending) {
@@ -86,18 +97,39 @@
   state.view.at_hand = report.at_hand;
   if (report.busy) {
     if (!state.view.loading) {
-      state.view.loading = ModelId();
+      const bool of_model = unsure && unsure->target.adapter.empty();
+      state.view.loading = of_model ? unsure->target.model : ModelId();
+      state.view.unloading = of_model && unsure->action == OrderAction::kUnload;
     }
     state.view.load_done = now;
     return std::nullopt;
   }
   state.view.loading.reset();
   if (was_loading && report.models.contains(*was_loading)) {
-    return was_loading;
+    return ModelTarget{*was_loading, {}};
+  }
+  if (unsure && unsure->action == OrderAction::kUnload &&
+      state.view.Holds(unsure->target)) {
+    return unsure->target;
   }
   return std::nullopt;
 }
 
+void OrderBook::Reconcile(
+    TimePoint now, const ServerId& server,
+    const std::map<ModelId, std::set<std::string>>& registered, Duration lag) {
+  const auto found = states_.find(server);
+  if (found == states_.end()) {
+    return;
+  }
+  State& state = found->second;
+  if (state.known && !state.sent && !state.view.loading &&
+      now >= std::max(state.changed, state.reported) + lag &&
+      state.view.models != registered) {
+    state.doubted = true;
+  }
+}
+
 void OrderBook::OnReportFailed(TimePoint now, const ServerId& server) {
   State& state = states_[server];
   state.asked = false;
@@ -110,8 +142,9 @@
     return nullptr;
   }
   const State& state = found->second;
-  return state.known && !state.sent && !state.view.loading ? &state.view
-                                                           : nullptr;
+  return state.known && !state.doubted && !state.sent && !state.view.loading
+             ? &state.view
+             : nullptr;
 }
 
 const EngineView* OrderBook::Find(const ServerId& server) const {
@@ -139,6 +172,9 @@
   EngineView& view = state.view;
   state.sent.reset();
   state.changed = now;
+  if (outcome == OrderOutcome::kUnknown) {
+    state.unsure = order;
+  }
   if (outcome != OrderOutcome::kAccepted) {
     // What the server holds and has accepted has to be read again.
     state.known = false;
@@ -166,6 +202,19 @@
   }
 }
 
+std::optional<ModelId> OrderBook::PossiblyLoading(
+    const ServerId& server) const {
+  const auto found = states_.find(server);
+  if (found == states_.end()) {
+    return std::nullopt;
+  }
+  const State& state = found->second;
+  const auto& order = state.sent ? state.sent : state.unsure;
+  const bool loads = order && order->action == OrderAction::kLoad &&
+                     order->target.adapter.empty();
+  return loads ? std::optional(order->target.model) : std::nullopt;
+}
+
 bool OrderBook::Loading(const ServerId& server, const ModelId& model) const {
   const auto found = states_.find(server);
   if (found == states_.end()) {
--- a/libs/serving/tests/orders_test.cc
+++ b/libs/serving/tests/orders_test.cc
@@ -67,6 +67,66 @@
         order.expected);
 }
 
+TEST_CASE("a load without an answer counts until a report says otherwise") {
+  OrderBook book;
+  book.OnReport(At(600), kServer, MakeReport(3));
+  const ModelTarget other{ModelId("other"), ""};
+  const Order order = book.Begin(At(600), kServer, OrderAction::kLoad, other);
+  CHECK(book.PossiblyLoading(kServer) == other.model);
+  book.OnOutcome(At(900), order, OrderOutcome::kUnknown, {});
+  CHECK(book.PossiblyLoading(kServer) == other.model);
+  SECTION("it was not carried out") {
+    book.OnReport(At(1'500), kServer, MakeReport(3));
+    CHECK_FALSE(book.PossiblyLoading(kServer));
+    CHECK(book.Orderable(At(1'500), kServer) != nullptr);
+  }
+  SECTION("it is being carried out") {
+    book.OnReport(At(1'500), kServer, MakeReport(4, /*busy=*/true));
+    REQUIRE(book.Find(kServer) != nullptr);
+    CHECK(book.Find(kServer)->loading == other.model);
+    CHECK_FALSE(book.Find(kServer)->unloading);
+  }
+}
+
+TEST_CASE(
+    "peers hear of a copy whose unload had no answer and is still there") {
+  OrderBook book;
+  book.OnReport(At(600), kServer, MakeReport(3));
+  const Order order =
+      book.Begin(At(600), kServer, OrderAction::kUnload, kModel);
+  book.OnOutcome(At(900), order, OrderOutcome::kUnknown, {});
+  CHECK(book.OnReport(At(1'500), kServer, MakeReport(3)) == kModel);
+  // Once is enough.
+  CHECK_FALSE(book.OnReport(At(2'500), kServer, MakeReport(3)));
+}
+
+TEST_CASE("what the registry says otherwise for long is read again") {
+  constexpr milliseconds kLag(3'000);
+  OrderBook book;
+  book.OnReport(At(600), kServer, MakeReport(3));
+  const std::map<ModelId, std::set<std::string>> same = {{kModel.model, {}}};
+  const std::map<ModelId, std::set<std::string>> gone;
+  book.Reconcile(At(5'000), kServer, same, kLag);
+  CHECK_FALSE(book.WantsReport(At(5'000), kServer));
+  // The entry may be older than the report.
+  book.Reconcile(At(3'500), kServer, gone, kLag);
+  CHECK_FALSE(book.WantsReport(At(3'500), kServer));
+  book.Reconcile(At(3'700), kServer, gone, kLag);
+  CHECK(book.WantsReport(At(3'700), kServer));
+  CHECK(book.Orderable(At(3'700), kServer) == nullptr);
+  SECTION("the entry is right") {
+    EngineReport report = MakeReport(4);
+    report.models.clear();
+    book.OnReport(At(3'800), kServer, report);
+    CHECK(book.Find(kServer)->models.empty());
+  }
+  SECTION("the entry is old, as while the store is away") {
+    book.OnReport(At(3'800), kServer, MakeReport(3));
+    book.Reconcile(At(4'000), kServer, gone, kLag);
+    CHECK_FALSE(book.WantsReport(At(4'300), kServer));
+  }
+}
+
 TEST_CASE("a load keeps the server until a report shows the model") {
   OrderBook book;
   const ModelTarget other{ModelId("n"), ""};
@@ -81,7 +141,7 @@
   CHECK(book.Orderable(At(8'700), kServer) == nullptr);
   EngineReport done = MakeReport(1);
   done.models[other.model] = {};
-  CHECK(book.OnReport(At(9'200), kServer, done) == other.model);
+  CHECK(book.OnReport(At(9'200), kServer, done) == other);
   CHECK(book.Orderable(At(9'200), kServer) != nullptr);
   CHECK_FALSE(book.Loading(kServer, other.model));
 }
