Do not count a copy that is being unloaded as a copy

A server that carries out an unload, which takes a second or two while its runs end, was counted as one that loads the model (Planner's constructor looked at the order's model, not at what it does), so the last real copies looked like two too many.

Change: only loads under way count. The new test of PlanCopies fails on the code before (the last copy is unloaded) and passes now.

--- a/libs/serving/src/copies.cc
+++ b/libs/serving/src/copies.cc
@@ -35,8 +35,7 @@
         ++adapter_copies_[{model, adapter}];
       }
     }
-    if (server.loading && !server.loading->empty() &&
-        !server.models.contains(*server.loading)) {
+    if (IsLoading(server) && !server.loading->empty()) {
       ++copies_[*server.loading];
     }
   }
--- a/libs/serving/tests/copies_test.cc
+++ b/libs/serving/tests/copies_test.cc
@@ -64,6 +64,22 @@
   CHECK(moves[0].reason == MoveReason::kMakeRoom);
 }
 
+TEST_CASE("a copy that is being unloaded is no copy") {
+  const EngineSpec engine = MakeEngine(5);
+  auto servers = MakeServers({{0, 1, 2}, {1, 2}, {1, 2, 3}});
+  EngineState& unloading = servers.at(Server(1));
+  unloading.loading = Model(0);
+  unloading.loads = false;
+  unloading.orderable = false;
+  Demand demand;
+  demand.work = {
+      {Model(0), 50}, {Model(1), 900}, {Model(2), 900}, {Model(4), 900}};
+  for (const CopyMove& move : PlanCopies({engine, servers, demand, 2, false})) {
+    INFO("unloads " << move.target.model.value());
+    CHECK(move.target.model != Model(0));
+  }
+}
+
 TEST_CASE("no load begins beyond the weight store's rate, but from disk") {
   const EngineSpec engine = MakeEngine(2);
   auto servers = MakeServers({{0}, {0}});
