Do not count a copy whose unload waits for its runs

While an unload waits for its runs to end, the server's reports still list the model; the leader read them, took the copy back into its view and unloaded the last real ones (three unloads of one model within 1.2 s).

Change: a model whose unload is under way is not held, whatever a report lists. The new test of OrderBook fails on the code before and passes now.

--- a/libs/serving/src/orders.cc
+++ b/libs/serving/src/orders.cc
@@ -101,6 +101,10 @@
       state.view.loading = of_model ? unsure->target.model : ModelId();
       state.view.unloading = of_model && unsure->action == OrderAction::kUnload;
     }
+    if (state.view.unloading) {
+      // Listed until its last run has ended, and of no use to anybody.
+      state.view.models.erase(*state.view.loading);
+    }
     state.view.load_done = now;
     return std::nullopt;
   }
--- a/libs/serving/tests/orders_test.cc
+++ b/libs/serving/tests/orders_test.cc
@@ -67,6 +67,23 @@
         order.expected);
 }
 
+TEST_CASE("a copy whose unload waits for its runs is not held any more") {
+  OrderBook book;
+  book.OnReport(At(600), kServer, MakeReport(3));
+  const Order order =
+      book.Begin(At(600), kServer, OrderAction::kUnload, kModel);
+  book.OnOutcome(At(610), order, OrderOutcome::kAccepted, milliseconds(30));
+  CHECK_FALSE(book.Find(kServer)->Holds(kModel));
+  // The server lists the model until its last run has ended.
+  book.OnReport(At(1'200), kServer, MakeReport(4, /*busy=*/true));
+  CHECK_FALSE(book.Find(kServer)->Holds(kModel));
+  EngineReport done = MakeReport(4);
+  done.models.clear();
+  book.OnReport(At(1'700), kServer, done);
+  CHECK_FALSE(book.Find(kServer)->Holds(kModel));
+  CHECK(book.Orderable(At(1'700), kServer) != nullptr);
+}
+
 TEST_CASE("a load without an answer counts until a report says otherwise") {
   OrderBook book;
   book.OnReport(At(600), kServer, MakeReport(3));
