Say once whether a target is held

EngineView and BackendServer had the same function over the same kind of map: HeldModels and Holds stand beside ModelTarget now.

--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -139,6 +139,7 @@
   bool caller_reads_ = false;
   /** When the last whole event was passed on, or the request was sent. */
   TimePoint progress_at_;
+  /** When the last whole event of the stream came. */
   TimePoint last_event_at_;
   /** Between two events of the stream that the caller got. */
   Duration longest_pause_{0};
--- a/libs/serving/include/figwell/serving/catalog.h
+++ b/libs/serving/include/figwell/serving/catalog.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -171,6 +172,12 @@
   friend bool operator==(const ModelTarget&, const ModelTarget&) = default;
 };
 
+/** Models that a server holds, each with its adapters. */
+using HeldModels = std::map<ModelId, std::set<std::string>>;
+
+/** Whether the model is held, and the adapter if the target names one. */
+bool Holds(const HeldModels& models, const ModelTarget& target);
+
 /** Reads `MODEL` or `MODEL/ADAPTER`. */
 ModelTarget ParseModelTarget(std::string_view text);
 
--- a/libs/serving/include/figwell/serving/directory.h
+++ b/libs/serving/include/figwell/serving/directory.h
@@ -28,7 +28,7 @@
   /** When it started, by its own clock; tells two starts with one id apart. */
   std::int64_t started_ms = 0;
   /** The models it holds, each with its adapters. */
-  std::map<ModelId, std::set<std::string>> models;
+  HeldModels models;
 
   bool Holds(const ModelTarget& target) const;
   friend bool operator==(const BackendServer&, const BackendServer&) = default;
--- a/libs/serving/include/figwell/serving/engine_state.h
+++ b/libs/serving/include/figwell/serving/engine_state.h
@@ -16,7 +16,7 @@
 /** One server as the planner sees it. */
 struct EngineState {
   /** What it holds, or will once its present order is carried out. */
-  std::map<ModelId, std::set<std::string>> models;
+  HeldModels models;
   /** Weights that need no load from the weight store. */
   std::set<ModelId> at_hand;
   /** A model whose order is under way: a load if `loads`, else an unload. */
--- a/libs/serving/include/figwell/serving/orders.h
+++ b/libs/serving/include/figwell/serving/orders.h
@@ -47,7 +47,7 @@
 
 /** What an engine says of its memory. */
 struct EngineReport {
-  std::map<ModelId, std::set<std::string>> models;
+  HeldModels models;
   /** Adapters under way to the server. */
   std::set<ModelTarget> pending;
   /** Models whose weights are on the server's disk or in its memory. */
@@ -60,7 +60,7 @@
 
 /** What the leader knows of one server's memory. */
 struct EngineView {
-  std::map<ModelId, std::set<std::string>> models;
+  HeldModels models;
   std::set<ModelId> at_hand;
   /** A model whose order is under way. */
   std::optional<ModelId> loading;
@@ -69,7 +69,6 @@
   TimePoint load_done;  ///< when the load should have ended
   std::int64_t accepted = 0;
 
-  bool Holds(const ModelTarget& target) const;
   friend bool operator==(const EngineView&, const EngineView&) = default;
 };
 
@@ -104,8 +103,7 @@
    * @param lag how old the entry may be
    */
   void Reconcile(TimePoint now, const ServerId& server,
-                 const std::map<ModelId, std::set<std::string>>& registered,
-                 Duration lag);
+                 const HeldModels& registered, Duration lag);
 
   /** The server's state; null unless it may be given an order now. */
   const EngineView* Orderable(TimePoint now, const ServerId& server) const;
@@ -139,6 +137,7 @@
     bool doubted = false;
     /** The last change by an order of this process. */
     TimePoint changed;
+    /** When a report was last believed. */
     TimePoint reported;
   };
 
--- a/libs/serving/src/catalog.cc
+++ b/libs/serving/src/catalog.cc
@@ -4,6 +4,12 @@
 
 namespace figwell::serving {
 
+bool Holds(const HeldModels& models, const ModelTarget& target) {
+  const auto model = models.find(target.model);
+  return model != models.end() &&
+         (target.adapter.empty() || model->second.contains(target.adapter));
+}
+
 Catalog::Catalog(CatalogParts parts) : parts_(std::move(parts)) {
   for (const Route& route : parts_.routes) {
     routes_of_host_[route.host].push_back(&route);
--- a/libs/serving/src/directory.cc
+++ b/libs/serving/src/directory.cc
@@ -5,9 +5,7 @@
 namespace figwell::serving {
 
 bool BackendServer::Holds(const ModelTarget& target) const {
-  const auto model = models.find(target.model);
-  return model != models.end() &&
-         (target.adapter.empty() || model->second.contains(target.adapter));
+  return serving::Holds(models, target);
 }
 
 std::string_view Name(ServerChange change) {
--- a/libs/serving/src/orders.cc
+++ b/libs/serving/src/orders.cc
@@ -40,12 +40,6 @@
   return "unknown";
 }
 
-bool EngineView::Holds(const ModelTarget& target) const {
-  const auto model = models.find(target.model);
-  return model != models.end() &&
-         (target.adapter.empty() || model->second.contains(target.adapter));
-}
-
 void OrderBook::Clear() { states_.clear(); }
 
 void OrderBook::Forget(const ServerId& server) { states_.erase(server); }
@@ -109,19 +103,19 @@
     return std::nullopt;
   }
   state.view.loading.reset();
+  state.view.unloading = false;
   if (was_loading && report.models.contains(*was_loading)) {
     return ModelTarget{*was_loading, {}};
   }
   if (unsure && unsure->action == OrderAction::kUnload &&
-      state.view.Holds(unsure->target)) {
+      Holds(state.view.models, unsure->target)) {
     return unsure->target;
   }
   return std::nullopt;
 }
 
-void OrderBook::Reconcile(
-    TimePoint now, const ServerId& server,
-    const std::map<ModelId, std::set<std::string>>& registered, Duration lag) {
+void OrderBook::Reconcile(TimePoint now, const ServerId& server,
+                          const HeldModels& registered, Duration lag) {
   const auto found = states_.find(server);
   if (found == states_.end()) {
     return;
--- a/libs/serving/tests/orders_test.cc
+++ b/libs/serving/tests/orders_test.cc
@@ -73,14 +73,14 @@
   const Order order =
       book.Begin(At(600), kServer, OrderAction::kUnload, kModel);
   book.OnOutcome(At(610), order, OrderOutcome::kAccepted, milliseconds(30));
-  CHECK_FALSE(book.Find(kServer)->Holds(kModel));
+  CHECK_FALSE(Holds(book.Find(kServer)->models, kModel));
   // The server lists the model until its last run has ended.
   book.OnReport(At(1'200), kServer, MakeReport(4, /*busy=*/true));
-  CHECK_FALSE(book.Find(kServer)->Holds(kModel));
+  CHECK_FALSE(Holds(book.Find(kServer)->models, kModel));
   EngineReport done = MakeReport(4);
   done.models.clear();
   book.OnReport(At(1'700), kServer, done);
-  CHECK_FALSE(book.Find(kServer)->Holds(kModel));
+  CHECK_FALSE(Holds(book.Find(kServer)->models, kModel));
   CHECK(book.Orderable(At(1'700), kServer) != nullptr);
 }
 
@@ -121,8 +121,8 @@
   constexpr milliseconds kLag(3'000);
   OrderBook book;
   book.OnReport(At(600), kServer, MakeReport(3));
-  const std::map<ModelId, std::set<std::string>> same = {{kModel.model, {}}};
-  const std::map<ModelId, std::set<std::string>> gone;
+  const HeldModels same = {{kModel.model, {}}};
+  const HeldModels gone;
   book.Reconcile(At(5'000), kServer, same, kLag);
   CHECK_FALSE(book.WantsReport(At(5'000), kServer));
   // The entry may be older than the report.
