--- /dev/null
+++ b/libs/serving/tests/one_model.h
@@ -0,0 +1,38 @@
+#ifndef FIGWELL_SERVING_TESTS_ONE_MODEL_H_
+#define FIGWELL_SERVING_TESTS_ONE_MODEL_H_
+
+/** A service with one model, for played loads. */
+
+#include <string>
+
+#include "figwell/serving/catalog.h"
+#include "figwell/serving/directory.h"
+
+namespace figwell::serving {
+
+inline const ServiceId kOnlyService{"models"};
+inline const ModelTarget kOnlyModel{ModelId("m"), ""};
+inline const DomainId kOnlyDomain{"here"};
+
+inline Catalog MakeOneModelCatalog() {
+  ServiceSpec service{kOnlyService, "/", 0, EngineSpec{}};
+  service.engine->slots = 64;
+  service.engine->models.emplace(kOnlyModel.model, ModelSpec{kOnlyModel.model});
+  CatalogParts parts;
+  parts.services.emplace(kOnlyService, service);
+  return Catalog(std::move(parts));
+}
+
+/** A server that holds the model. */
+inline BackendServer MakeModelServer(int number) {
+  BackendServer server;
+  server.id = ServerId(std::string("s").append(std::to_string(number)));
+  server.service = kOnlyService;
+  server.domain = kOnlyDomain;
+  server.models[kOnlyModel.model] = {};
+  return server;
+}
+
+}  // namespace figwell::serving
+
+#endif  // FIGWELL_SERVING_TESTS_ONE_MODEL_H_
--- a/libs/serving/tests/spreading_test.cc
+++ b/libs/serving/tests/spreading_test.cc
@@ -7,6 +7,7 @@
 #include "figwell/serving/balancer.h"
 #include "figwell/serving/demand.h"
 #include "figwell/testing.h"
+#include "one_model.h"
 
 namespace figwell::serving {
 namespace {
@@ -36,24 +37,14 @@
 class Play {
  public:
   explicit Play(bool spread) : spread_(spread), random_(7) {
-    ServiceSpec service{kService, "/", 0, EngineSpec{}};
-    service.engine->slots = 64;
-    service.engine->models.emplace(kModel.model, ModelSpec{kModel.model});
-    CatalogParts parts;
-    parts.services.emplace(kService, service);
-    catalog_.emplace(std::move(parts));
     for (std::size_t i = 0; i < kInstances; ++i) {
-      balancers_.emplace_back(DomainId("here"), i + 1, milliseconds(3'000));
+      balancers_.emplace_back(kOnlyDomain, i + 1, milliseconds(3'000));
     }
     meters_.resize(kInstances);
   }
 
   void AddServer() {
-    BackendServer server;
-    server.id = ServerId(std::string("s").append(std::to_string(added_++)));
-    server.service = kService;
-    server.domain = DomainId("here");
-    server.models[kModel.model] = {};
+    const BackendServer server = MakeModelServer(added_++);
     directory_.Put(server);
     free_at_[server.id] = TimePoint{};
   }
@@ -78,8 +69,6 @@
     AttemptNumber attempt = 0;
   };
 
-  static inline const ServiceId kService{"models"};
-  static inline const ModelTarget kModel{ModelId("m"), ""};
   static constexpr std::size_t kInstances = 20;
   static constexpr Tokens kPrompt = 1'500;
   static constexpr milliseconds kReading{75};
@@ -111,16 +100,16 @@
 
   void Ask(std::size_t instance) {
     RequestNeeds needs;
-    needs.service = kService;
-    needs.target = kModel;
+    needs.service = kOnlyService;
+    needs.target = kOnlyModel;
     needs.prompt_tokens = kPrompt;
-    meters_[instance].OnRequest(now_, kModel, kReading);
+    meters_[instance].OnRequest(now_, kOnlyModel, kReading);
     if (spread_) {
-      needs.unseen_work =
-          UnseenWork(meters_[instance].Work(now_, kModel.model), kInstances);
+      needs.unseen_work = UnseenWork(
+          meters_[instance].Work(now_, kOnlyModel.model), kInstances);
     }
     const auto choice =
-        balancers_[instance].Choose(now_, *catalog_, directory_, needs);
+        balancers_[instance].Choose(now_, catalog_, directory_, needs);
     REQUIRE(choice);
     TimePoint& free_at = free_at_[choice->server];
     free_at = std::max(free_at, now_) + kReading;
@@ -132,7 +121,7 @@
 
   bool spread_;
   Random random_;
-  std::optional<Catalog> catalog_;
+  Catalog catalog_ = MakeOneModelCatalog();
   Directory directory_;
   std::vector<Balancer> balancers_;
   std::vector<DemandMeter> meters_;
--- a/libs/serving/tests/waiting_test.cc
+++ b/libs/serving/tests/waiting_test.cc
@@ -6,6 +6,7 @@
 #include "figwell/serving/balancer.h"
 #include "figwell/serving/wait_scale.h"
 #include "figwell/testing.h"
+#include "one_model.h"
 
 // Answers a load near what the servers can do, of short and long prompts that
 // engines read in turns: who is refused as late, and how right that is.
@@ -100,22 +101,11 @@
  public:
   /** @param learned whether waits are taken as learned, or as the sum */
   explicit Play(bool learned) : learned_(learned), random_(11) {
-    ServiceSpec service{kService, "/", 0, EngineSpec{}};
-    service.engine->slots = 64;
-    service.engine->models.emplace(kModel.model, ModelSpec{kModel.model});
-    CatalogParts parts;
-    parts.services.emplace(kService, service);
-    catalog_.emplace(std::move(parts));
     for (std::size_t i = 0; i < kInstances; ++i) {
-      balancers_.emplace_back(DomainId("here"), i + 1, milliseconds(3'000));
+      balancers_.emplace_back(kOnlyDomain, i + 1, milliseconds(3'000));
     }
     for (int i = 0; i < kServers; ++i) {
-      BackendServer server;
-      server.id = ServerId(std::string("s").append(std::to_string(i)));
-      server.service = kService;
-      server.domain = DomainId("here");
-      server.models[kModel.model] = {};
-      directory_.Put(server);
+      directory_.Put(MakeModelServer(i));
     }
   }
 
@@ -139,8 +129,6 @@
   }
 
  private:
-  static inline const ServiceId kService{"models"};
-  static inline const ModelTarget kModel{ModelId("m"), ""};
   static constexpr std::size_t kInstances = 9;
   static constexpr int kServers = 4;
   static constexpr milliseconds kNewsInterval{200};
@@ -164,11 +152,11 @@
   void Ask(std::size_t instance, const Prompt& prompt) {
     ++outcome_.asked;
     RequestNeeds needs;
-    needs.service = kService;
-    needs.target = kModel;
+    needs.service = kOnlyService;
+    needs.target = kOnlyModel;
     needs.prompt_tokens = prompt.tokens;
     Balancer& balancer = balancers_[instance];
-    auto choice = balancer.Choose(now_, *catalog_, directory_, needs);
+    auto choice = balancer.Choose(now_, catalog_, directory_, needs);
     REQUIRE(choice);
     if (!learned_) {
       choice->wait = choice->unread;
@@ -205,7 +193,7 @@
 
   bool learned_;
   Random random_;
-  std::optional<Catalog> catalog_;
+  Catalog catalog_ = MakeOneModelCatalog();
   Directory directory_;
   std::vector<Balancer> balancers_;
   Engines engines_;
