Give requests that will be late the urgency of their route

Whether a request will be late is an estimate, and putting it last makes the estimate true.

Change: the number follows from the route alone.

--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -135,7 +135,7 @@
   head.team = team_;
   head.remaining = Remaining();
   if (service != nullptr && service->engine) {
-    head.priority = serving::ServerPriority(*route_, choice, Elapsed());
+    head.priority = serving::ServerPriority(*route_);
   }
   head.resume_after = last_event_;
   if (sends_ == 0) {
--- a/libs/serving/include/figwell/serving/admission.h
+++ b/libs/serving/include/figwell/serving/admission.h
@@ -29,10 +29,9 @@
 
 /**
  * The number that a server is given to order its waiting requests, 0 first.
- * Requests with a near target go before those with a distant one, and requests
- * that will miss their target yield to those that can still meet it.
+ * Requests with a near target go before those with a distant one.
  */
-int ServerPriority(const Route& route, const Choice& choice, Duration elapsed);
+int ServerPriority(const Route& route);
 
 /** What to do with a request whose best server is known. */
 enum class Admission {
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -13,7 +13,6 @@
 constexpr int kNearPriority = 2;
 constexpr int kMiddlePriority = 4;
 constexpr int kDistantPriority = 5;
-constexpr int kLatePriority = 7;
 // A wait over this part of the target counts as a queue.
 constexpr int kQueueParts = 2;
 // Callers take a Retry-After of up to this part of the time they have left.
@@ -47,10 +46,7 @@
   return "unknown";
 }
 
-int ServerPriority(const Route& route, const Choice& choice, Duration elapsed) {
-  if (elapsed + choice.expected > route.latency_target) {
-    return kLatePriority;
-  }
+int ServerPriority(const Route& route) {
   if (route.latency_target <= kNearTarget) {
     return std::clamp(kNearPriority + std::min(route.rank, 1), 0,
                       kMiddlePriority - 1);
