Do without a penalty for servers that have just rejected a model

A rejection still counts among a server's failures, and one that says that the model is not there is taken for an announcement.

--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -198,8 +198,6 @@
     std::optional<PromptIndex> cached;
     std::map<ModelTarget, Announced> announced;
     TimePoint registered;
-    /** Until when a target counts as rejected there. */
-    std::map<ModelTarget, TimePoint> rejecting;
   };
   /** What attempts say of the way to a failure domain. */
   struct DomainState {
@@ -233,8 +231,7 @@
                   const BackendServer& server, const RequestNeeds& needs,
                   bool home);
   double Penalty(TimePoint now, const ServerState& state,
-                 const BackendServer& server, const ModelTarget& target,
-                 double usual_failures) const;
+                 const BackendServer& server, double usual_failures) const;
   /** Whether the domain seems to be cut off from here. */
   bool IsCutOff(TimePoint now, const DomainId& domain) const;
   void NoteReach(TimePoint now, const Attempt& attempt, AttemptEnd end);
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -28,8 +28,6 @@
 // Cost of a server that fails at once, and of one that fails often.
 constexpr double kAvoidedCostMs = 60'000;
 constexpr double kFailureCostMs = 2'000;
-// Cost of a server that has just rejected the model.
-constexpr double kRejectingCostMs = 1'500;
 // So many servers of one domain that cannot be reached, and none that can, are
 // a partition. Every so often a request may find out whether it has ended.
 constexpr std::size_t kUnreachedServers = 3;
@@ -195,16 +193,12 @@
 }
 
 double Balancer::Penalty(TimePoint now, const ServerState& state,
-                         const BackendServer& server, const ModelTarget& target,
+                         const BackendServer& server,
                          double usual_failures) const {
   double cost = server.domain == own_domain_ ? 0 : ToMs(kOtherDomainCost);
   if (state.avoid_until > now || IsCutOff(now, server.domain)) {
     cost += kAvoidedCostMs;
   }
-  const auto rejecting = state.rejecting.find(target);
-  if (rejecting != state.rejecting.end() && rejecting->second > now) {
-    cost += kRejectingCostMs;
-  }
   const double excess =
       state.failure_share - 2 * usual_failures - kFailureMargin;
   if (excess > 0) {
@@ -301,9 +295,8 @@
   costs.reserve(candidates.size());
   for (const BackendServer* server : candidates) {
     choices.push_back(Estimate(now, catalog, *server, needs, server == home));
-    costs.push_back(
-        ToMs(choices.back().expected) +
-        Penalty(now, servers_[server->id], *server, needs.target, usual));
+    costs.push_back(ToMs(choices.back().expected) +
+                    Penalty(now, servers_[server->id], *server, usual));
   }
   return choices[DrawServer(costs, ToMs(needs.unseen_work), random_.Unit())];
 }
--- a/libs/serving/src/balancer_outcomes.cc
+++ b/libs/serving/src/balancer_outcomes.cc
@@ -22,9 +22,6 @@
 constexpr Duration kFirstAvoidance = milliseconds(500);
 constexpr int kMostDoublings = 3;
 constexpr double kFailureSmoothing = 0.1;
-// An engine rejects a model that it is about to drop, and everything while its
-// memory is full: others are better for a while, if there are any.
-constexpr Duration kRejectingFor = milliseconds(400);
 // Instances come back to a server within this part of its pause after the end
 // of it, and within this time at most.
 constexpr double kReturnSpread = 0.1;
@@ -149,11 +146,6 @@
   if (end == AttemptEnd::kAbandoned) {
     return;
   }
-  if (end == AttemptEnd::kShed && !attempt.target.model.empty()) {
-    std::erase_if(state.rejecting,
-                  [&](const auto& item) { return item.second <= now; });
-    state.rejecting[attempt.target] = now + kRejectingFor;
-  }
   const bool failed = end != AttemptEnd::kAnswered;
   state.failure_share +=
       kFailureSmoothing * ((failed ? 1.0 : 0.0) - state.failure_share);
--- a/libs/serving/tests/balancer_test.cc
+++ b/libs/serving/tests/balancer_test.cc
@@ -239,21 +239,6 @@
   CHECK(world.Choose(8'000, needs) != "near");
 }
 
-TEST_CASE("a server that rejects a model gets it again only after a while") {
-  World world;
-  world.directory.Put(MakeServer("a", kModels, "here"));
-  world.directory.Put(MakeServer("b", kModels, "there"));
-  const RequestNeeds needs = ModelNeeds(2'000);
-  REQUIRE(world.Choose(0, needs) == "a");
-  world.balancer.OnEnd(At(5), world.Send(0, needs), AttemptEnd::kShed);
-  CHECK(world.Choose(10, needs) == "b");
-  CHECK(world.Choose(600, needs) == "a");
-  // Alone it is chosen all the same: the rejection may have passed.
-  world.balancer.OnEnd(At(605), world.Send(600, needs), AttemptEnd::kShed);
-  world.directory.Remove(At(610), ServerId("b"));
-  CHECK(world.Choose(620, needs) == "a");
-}
-
 TEST_CASE("while the registry says nothing new, announcements hold") {
   // A copy is unloaded just before the store goes away for some seconds.
   World world;
