Bound the idle time of connections to all servers again

Kept connections break under requests that cannot be sent again; the bound on all keeps most of those from it.

--- a/libs/http/src/call.cc
+++ b/libs/http/src/call.cc
@@ -118,7 +118,6 @@
     Fail(Stage::kFirstByte, {}, "too late to be sent");
     return;
   }
-  written_at_ = IdlePool::Clock::now();
   stream_->expires_after(pool_->limits().write_timeout);
   asio::async_write(
       *stream_, asio::buffer(request_bytes_),
@@ -134,8 +133,7 @@
   if (!error) {
     request_bytes_.clear();
     request_bytes_.shrink_to_fit();
-    written_at_ = IdlePool::Clock::now();
-    head_deadline_ = written_at_ + limits_.head_timeout;
+    head_deadline_ = IdlePool::Clock::now() + limits_.head_timeout;
     ReadHead();
     return;
   }
@@ -285,8 +283,7 @@
                     error == asio::error::eof ||
                     error == beast::http::error::end_of_stream;
   if (reused_ && gone && stage <= Stage::kWritten) {
-    pool_->NoteDropped(address_, idle_before_,
-                       IdlePool::Clock::now() - written_at_);
+    pool_->NoteDropped(idle_before_);
   }
   Reset();
   stream_.reset();
--- a/libs/http/src/call.h
+++ b/libs/http/src/call.h
@@ -34,15 +34,10 @@
   Kept Take(const std::string& address);
   /**
    * A connection that had been idle for so long broke before anything was
-   * answered. Its server may drop idle connections without a word, so those to
-   * it are used for a shorter time from now on; the bound grows again with
-   * time. If several servers do so, it may be for a cause that all share, and
-   * the bound goes for all.
-   * @param waited from the last byte written until it broke: who has dropped a
-   *   connection resets it at once, who fails at the request takes longer
+   * answered. Servers may drop idle connections without a word, so all are
+   * used for a shorter time from now on; the bound grows again with time.
    */
-  void NoteDropped(const std::string& address, Clock::duration idle,
-                   Clock::duration waited);
+  void NoteDropped(Clock::duration idle);
   /** @param lifetime how long the server keeps the connection, if it said so
    */
   void Give(const std::string& address, std::unique_ptr<Stream> stream,
@@ -57,24 +52,13 @@
     Clock::time_point until;
   };
 
-  /** A bound on the idle time of connections, which doubles every so often. */
-  struct Bound {
-    Clock::duration longest;
-    Clock::time_point since;
-  };
-
-  Clock::duration Longest(const Bound& bound, Clock::time_point now) const;
-  Bound Shorter(const std::optional<Bound>& bound, Clock::duration idle,
-                Clock::time_point now) const;
-  Clock::duration LongestIdle(const std::string& address,
-                              Clock::time_point now) const;
+  Clock::duration LongestIdle(Clock::time_point now) const;
 
   ClientLimits limits_;
   std::map<std::string, std::vector<Idle>> idle_;
-  std::map<std::string, Bound> bounds_;
-  std::optional<Bound> shared_bound_;
-  /** When servers last reset a connection at once. */
-  std::map<std::string, Clock::time_point> resets_;
+  /** What NoteDropped asked for last, and when. */
+  std::optional<Clock::duration> dropped_bound_;
+  Clock::time_point dropped_at_;
 };
 
 /** One request on its way to a backend, and its answer on the way back. */
@@ -121,8 +105,6 @@
   std::unique_ptr<Stream> stream_;
   bool reused_ = false;
   IdlePool::Clock::duration idle_before_{0};
-  /** When the request was handed over, or its writing began. */
-  IdlePool::Clock::time_point written_at_;
   bool finished_ = false;
   /** The present answer belongs to another request. */
   bool foreign_ = false;
--- a/libs/http/src/idle_pool.cc
+++ b/libs/http/src/idle_pool.cc
@@ -15,11 +15,6 @@
 constexpr milliseconds kShortestIdle{300};
 constexpr milliseconds kBoundDoublesAfter{10'000};
 constexpr std::int64_t kMostDoublings = 10;
-// Resets at once, of so many servers within one such interval, have a common
-// cause.
-constexpr std::size_t kSharedCause = 3;
-// A round trip between failure domains, and room for a busy machine.
-constexpr milliseconds kAtOnce{10};
 
 // Whether nothing has happened on the connection since its last answer. Bytes
 // would belong to no request of ours; an end means that the server closed it.
@@ -34,38 +29,20 @@
 
 }  // namespace
 
-IdlePool::Clock::duration IdlePool::Longest(const Bound& bound,
-                                            Clock::time_point now) const {
+IdlePool::Clock::duration IdlePool::LongestIdle(Clock::time_point now) const {
+  if (!dropped_bound_) {
+    return limits_.idle_timeout;
+  }
   const auto doublings = std::min<std::int64_t>(
-      kMostDoublings, (now - bound.since) / kBoundDoublesAfter);
+      kMostDoublings, (now - dropped_at_) / kBoundDoublesAfter);
   return std::min<Clock::duration>(limits_.idle_timeout,
-                                   bound.longest * (1LL << doublings));
-}
-
-IdlePool::Bound IdlePool::Shorter(const std::optional<Bound>& bound,
-                                  Clock::duration idle,
-                                  Clock::time_point now) const {
-  const Clock::duration longest =
-      bound ? Longest(*bound, now) : Clock::duration(limits_.idle_timeout);
-  return {std::max<Clock::duration>(kShortestIdle, std::min(longest, idle / 2)),
-          now};
-}
-
-IdlePool::Clock::duration IdlePool::LongestIdle(const std::string& address,
-                                                Clock::time_point now) const {
-  Clock::duration longest = limits_.idle_timeout;
-  if (shared_bound_) {
-    longest = std::min(longest, Longest(*shared_bound_, now));
-  }
-  const auto own = bounds_.find(address);
-  return own == bounds_.end() ? longest
-                              : std::min(longest, Longest(own->second, now));
+                                   *dropped_bound_ * (1LL << doublings));
 }
 
 IdlePool::Kept IdlePool::Take(const std::string& address) {
   auto& connections = idle_[address];
   const auto now = Clock::now();
-  const auto longest = LongestIdle(address, now);
+  const auto longest = LongestIdle(now);
   while (!connections.empty()) {
     Idle idle = std::move(connections.back());
     connections.pop_back();
@@ -77,27 +54,11 @@
   return {};
 }
 
-void IdlePool::NoteDropped(const std::string& address, Clock::duration idle,
-                           Clock::duration waited) {
+void IdlePool::NoteDropped(Clock::duration idle) {
   const auto now = Clock::now();
-  std::erase_if(bounds_, [&](const auto& item) {
-    return Longest(item.second, now) >= limits_.idle_timeout;
-  });
-  const auto own = bounds_.find(address);
-  bounds_.insert_or_assign(
-      address,
-      Shorter(own == bounds_.end() ? std::nullopt : std::optional(own->second),
-              idle, now));
-  if (waited > kAtOnce) {
-    return;
-  }
-  resets_[address] = now;
-  std::erase_if(resets_, [&](const auto& item) {
-    return now - item.second >= kBoundDoublesAfter;
-  });
-  if (resets_.size() >= kSharedCause) {
-    shared_bound_ = Shorter(shared_bound_, idle, now);
-  }
+  dropped_bound_ = std::max<Clock::duration>(
+      kShortestIdle, std::min(LongestIdle(now), idle / 2));
+  dropped_at_ = now;
 }
 
 void IdlePool::Give(const std::string& address, std::unique_ptr<Stream> stream,
