Say once how the order book shows a server to plans, and three other things

Found by reading the whole change again; behaviour stays as it is. - OrderBook::StateOf makes the plan's view of a server. PlacementHost::Plan had it, and late_orders_test had copied it, so that the test of late orders did not run the code that decides. - CallerRequest::EndBroken for six calls that chose the same progress. - NoteServerState takes the answer to a call of our own, for its two callers. - HeldModels where the registry is read; TellLoads for two played loads.

--- a/apps/edge/placement_host.cc
+++ b/apps/edge/placement_host.cc
@@ -265,9 +265,7 @@
         const TimePoint now = MonotonicNow();
         --reports_under_way_;
         if (response) {
-          NoteServerState(
-              state_, id, started_ms,
-              adapter::ReadAnswer({}, response->status, response->headers), {});
+          NoteServerState(state_, id, started_ms, *response);
         }
         const auto report =
             response ? adapter::DecodeReport(*response)
@@ -294,24 +292,11 @@
     if (entry.server.service != service.id || entry.server.draining) {
       continue;
     }
-    serving::EngineState engine;
     book_.Reconcile(now, id, entry.server.models,
                     state_.settings.bounds.registry_lag);
-    const serving::EngineView* view = book_.Find(id);
-    if (view == nullptr) {
-      // Not read yet: what the registry says keeps its copies counted.
-      engine.models = entry.server.models;
-      engine.loading = book_.PossiblyLoading(id);
-    } else {
-      engine.models = view->models;
-      engine.at_hand = view->at_hand;
-      engine.loading =
-          view->loading ? view->loading : book_.PossiblyLoading(id);
-      engine.loads = !view->unloading;
-      engine.orderable = book_.Orderable(now, id) != nullptr &&
-                         !unloads_.contains(id) &&
-                         !state_.balancer.IsPaused(now, id);
-    }
+    serving::EngineState engine = book_.StateOf(now, id, entry.server.models);
+    engine.orderable = engine.orderable && !unloads_.contains(id) &&
+                       !state_.balancer.IsPaused(now, id);
     if (const auto unload = unloads_.find(id); unload != unloads_.end()) {
       const serving::ModelTarget& target = unload->second.move.target;
       if (target.adapter.empty()) {
--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -86,9 +86,7 @@
       [this, order, started_ms = server->started_ms](
           const tl::expected<http::Response, http::ClientError>& response) {
         if (response) {
-          NoteServerState(
-              state_, order.server, started_ms,
-              adapter::ReadAnswer({}, response->status, response->headers), {});
+          NoteServerState(state_, order.server, started_ms, *response);
         }
         OnOrderAnswer(order, response);
       },
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -64,6 +64,8 @@
   void OnRejected(int status);
   void EndAttempt(serving::Progress progress, serving::AttemptEnd end,
                   std::string_view detail);
+  /** Ends an attempt whose server may have begun to work on it. */
+  void EndBroken(std::string_view detail);
   void GiveUp(serving::Progress progress, std::string_view detail);
 
   // request_stall.cc
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -205,9 +205,7 @@
                error.message);
     return;
   }
-  EndAttempt(
-      relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
-      serving::AttemptEnd::kBroken, error.message);
+  EndBroken(error.message);
 }
 
 void CallerRequest::EndAttempt(serving::Progress progress,
@@ -253,6 +251,12 @@
   Attempt();
 }
 
+void CallerRequest::EndBroken(std::string_view detail) {
+  EndAttempt(
+      relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
+      serving::AttemptEnd::kBroken, detail);
+}
+
 void CallerRequest::GiveUp(serving::Progress progress,
                            std::string_view detail) {
   if (RefuseWhilePaused()) {
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -84,9 +84,7 @@
     return;
   }
   if (!IsVouchedFor() || relaying_) {
-    EndAttempt(
-        relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
-        serving::AttemptEnd::kBroken, "more bytes than are held of an answer");
+    EndBroken("more bytes than are held of an answer");
     return;
   }
   // From here on the answer can no longer be taken back: if it breaks off, so
@@ -136,9 +134,7 @@
   auto events = reader_.Take(piece);
   ReleaseHeld(held_);
   if (!events || !Hold(reader_.pending())) {
-    EndAttempt(
-        relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
-        serving::AttemptEnd::kBroken, "an event is too large");
+    EndBroken("an event is too large");
     return;
   }
   if (!events->empty()) {
@@ -178,9 +174,7 @@
 
 void CallerRequest::OnStreamEnd() {
   if (reader_.pending() > 0) {
-    EndAttempt(
-        relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
-        serving::AttemptEnd::kBroken, "ends within an event");
+    EndBroken("ends within an event");
     return;
   }
   state_.balancer.OnEnd(MonotonicNow(), *attempt_,
@@ -197,9 +191,7 @@
     return;
   }
   if (!IsVouchedFor() || relaying_) {
-    EndAttempt(
-        relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
-        serving::AttemptEnd::kBroken, "not the server's whole answer");
+    EndBroken("not the server's whole answer");
     return;
   }
   constexpr int kServerErrors = 5;
--- a/apps/edge/request_stall.cc
+++ b/apps/edge/request_stall.cc
@@ -37,9 +37,7 @@
     WatchForStall();
     return;
   }
-  EndAttempt(
-      relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
-      serving::AttemptEnd::kBroken, "no whole event for too long");
+  EndBroken("no whole event for too long");
 }
 
 }  // namespace figwell::edge
--- a/apps/edge/server_state.cc
+++ b/apps/edge/server_state.cc
@@ -20,4 +20,11 @@
   }
 }
 
+void NoteServerState(State& state, const ServerId& server,
+                     std::int64_t started_ms, const http::Response& response) {
+  NoteServerState(state, server, started_ms,
+                  adapter::ReadAnswer({}, response.status, response.headers),
+                  RequestId());
+}
+
 }  // namespace figwell::edge
--- a/apps/edge/server_state.h
+++ b/apps/edge/server_state.h
@@ -13,6 +13,9 @@
 void NoteServerState(State& state, const ServerId& server,
                      std::int64_t started_ms, const adapter::AnswerHead& answer,
                      const RequestId& request);
+/** The same, from the answer to a call of this system's own. */
+void NoteServerState(State& state, const ServerId& server,
+                     std::int64_t started_ms, const http::Response& response);
 
 }  // namespace figwell::edge
 
--- a/libs/serving/include/figwell/serving/orders.h
+++ b/libs/serving/include/figwell/serving/orders.h
@@ -13,6 +13,7 @@
 
 #include "figwell/core.h"
 #include "figwell/serving/catalog.h"
+#include "figwell/serving/engine_state.h"
 
 namespace figwell::serving {
 
@@ -110,6 +111,14 @@
   /** The server's state as far as known, also while an order is under way. */
   const EngineView* Find(const ServerId& server) const;
 
+  /**
+   * The server as plans see it, orders under way included.
+   * @param registered what its entry in the registry says it holds, for a
+   *   server whose report has not been read
+   */
+  EngineState StateOf(TimePoint now, const ServerId& server,
+                      const HeldModels& registered) const;
+
   /** Notes an order as sent. Precondition: Orderable. */
   Order Begin(TimePoint now, const ServerId& server, OrderAction action,
               const ModelTarget& target);
--- a/libs/serving/src/orders.cc
+++ b/libs/serving/src/orders.cc
@@ -151,6 +151,26 @@
                                                         : &found->second.view;
 }
 
+EngineState OrderBook::StateOf(TimePoint now, const ServerId& server,
+                               const HeldModels& registered) const {
+  EngineState state;
+  state.loading = PossiblyLoading(server);
+  const EngineView* view = Find(server);
+  if (view == nullptr) {
+    // Not read yet: what the registry says keeps its copies counted.
+    state.models = registered;
+    return state;
+  }
+  state.models = view->models;
+  state.at_hand = view->at_hand;
+  if (view->loading) {
+    state.loading = view->loading;
+  }
+  state.loads = !view->unloading;
+  state.orderable = Orderable(now, server) != nullptr;
+  return state;
+}
+
 Order OrderBook::Begin(TimePoint now, const ServerId& server,
                        OrderAction action, const ModelTarget& target) {
   State& state = states_[server];
--- a/libs/serving/tests/late_orders_test.cc
+++ b/libs/serving/tests/late_orders_test.cc
@@ -220,15 +220,8 @@
     std::map<ServerId, EngineState> servers;
     for (const auto& [id, entry] : directory_.entries()) {
       book_.Reconcile(now_, id, entry.server.models, kRegistryLag);
-      EngineState state;
-      const EngineView* view = book_.Find(id);
-      state.models = view == nullptr ? entry.server.models : view->models;
-      state.loading = view != nullptr && view->loading
-                          ? view->loading
-                          : book_.PossiblyLoading(id);
-      state.loads = view == nullptr || !view->unloading;
-      state.orderable =
-          book_.Orderable(now_, id) != nullptr && !unloads_.contains(id);
+      EngineState state = book_.StateOf(now_, id, entry.server.models);
+      state.orderable = state.orderable && !unloads_.contains(id);
       if (const auto unload = unloads_.find(id); unload != unloads_.end()) {
         state.models.erase(unload->second.second);
       }
--- a/libs/serving/tests/one_model.h
+++ b/libs/serving/tests/one_model.h
@@ -4,7 +4,9 @@
 /** A service with one model, for played loads. */
 
 #include <string>
+#include <vector>
 
+#include "figwell/serving/balancer.h"
 #include "figwell/serving/catalog.h"
 #include "figwell/serving/directory.h"
 
@@ -33,6 +35,26 @@
   return server;
 }
 
+/**
+ * Instances tell each other of their loads every `interval`, one after the
+ * other. To be called each millisecond.
+ */
+inline void TellLoads(TimePoint now, std::chrono::milliseconds interval,
+                      std::vector<Balancer>& balancers) {
+  for (std::size_t from = 0; from < balancers.size(); ++from) {
+    const Duration phase = interval * from / balancers.size();
+    if ((now.time_since_epoch() - phase) % interval != Duration{0}) {
+      continue;
+    }
+    const InstanceId name(std::string("i").append(std::to_string(from)));
+    for (std::size_t to = 0; to < balancers.size(); ++to) {
+      if (to != from) {
+        balancers[to].OnPeerLoads(now, name, balancers[from].OwnLoads());
+      }
+    }
+  }
+}
+
 }  // namespace figwell::serving
 
 #endif  // FIGWELL_SERVING_TESTS_ONE_MODEL_H_
--- a/libs/serving/tests/spreading_test.cc
+++ b/libs/serving/tests/spreading_test.cc
@@ -84,18 +84,7 @@
       balancers_[done.instance].OnEnd(now_, done.attempt,
                                       AttemptEnd::kAnswered);
     }
-    for (std::size_t from = 0; from < kInstances; ++from) {
-      const Duration phase = kNewsInterval * from / kInstances;
-      if ((now_.time_since_epoch() - phase) % kNewsInterval != Duration{0}) {
-        continue;
-      }
-      const InstanceId name(std::string("i").append(std::to_string(from)));
-      for (std::size_t to = 0; to < kInstances; ++to) {
-        if (to != from) {
-          balancers_[to].OnPeerLoads(now_, name, balancers_[from].OwnLoads());
-        }
-      }
-    }
+    TellLoads(now_, kNewsInterval, balancers_);
   }
 
   void Ask(std::size_t instance) {
--- a/libs/serving/tests/waiting_test.cc
+++ b/libs/serving/tests/waiting_test.cc
@@ -120,7 +120,7 @@
     outcome_ = {};
     for (; now_ < end; now_ += milliseconds(1)) {
       engines_.Tick([&](const Engines::Reading& reading) { OnRead(reading); });
-      TellPeers();
+      TellLoads(now_, kNewsInterval, balancers_);
       if (random_.Unit() < per_ms) {
         Ask(random_.Below(kInstances), random_.Unit() < 0.5 ? kShort : kLong);
       }
@@ -134,21 +134,6 @@
   static constexpr milliseconds kNewsInterval{200};
   static constexpr milliseconds kFirstEvent{25};
 
-  void TellPeers() {
-    for (std::size_t from = 0; from < kInstances; ++from) {
-      const Duration phase = kNewsInterval * from / kInstances;
-      if ((now_.time_since_epoch() - phase) % kNewsInterval != Duration{0}) {
-        continue;
-      }
-      const InstanceId name(std::string("i").append(std::to_string(from)));
-      for (std::size_t to = 0; to < kInstances; ++to) {
-        if (to != from) {
-          balancers_[to].OnPeerLoads(now_, name, balancers_[from].OwnLoads());
-        }
-      }
-    }
-  }
-
   void Ask(std::size_t instance, const Prompt& prompt) {
     ++outcome_.asked;
     RequestNeeds needs;
