--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -269,6 +269,8 @@
       .Set(state_.catalog ? state_.catalog->number() : 0);
   state_.metrics.GetGauge("figwell_servers_usable")
       .Set(static_cast<std::int64_t>(state_.directory.entries().size()));
+  state_.metrics.GetGauge("figwell_servers_limited")
+      .Set(static_cast<std::int64_t>(state_.balancer.limits().size()));
   state_.metrics.GetGauge("figwell_peers_heard")
       .Set(static_cast<std::int64_t>(peers_.Reachable().size()));
   http::Response response;
--- a/apps/edge/log_text.h
+++ b/apps/edge/log_text.h
@@ -1,7 +1,10 @@
 #ifndef FIGWELL_APPS_EDGE_LOG_TEXT_H_
 #define FIGWELL_APPS_EDGE_LOG_TEXT_H_
 
+#include <fmt/format.h>
+
 #include <chrono>
+#include <optional>
 #include <string>
 
 #include "figwell/core.h"
@@ -20,6 +23,11 @@
                                 : target.model.value() + "/" + target.adapter;
 }
 
+/** Requests per second, for a log field; empty if there is no limit. */
+inline std::string LimitText(const std::optional<double>& per_second) {
+  return per_second ? fmt::format("{:g}", *per_second) : "";
+}
+
 }  // namespace figwell::edge
 
 #endif  // FIGWELL_APPS_EDGE_LOG_TEXT_H_
--- a/apps/edge/placement_driver.cc
+++ b/apps/edge/placement_driver.cc
@@ -273,12 +273,13 @@
   ++reports_in_flight_;
   client_.Fetch(
       server.address, adapter::MakeReportRequest(server.id), limits,
-      [this, id = server.id, started_ms = server.started_ms](
+      [this, id = server.id, started_ms = server.started_ms,
+       sent = MonotonicNow()](
           const tl::expected<http::Response, http::ClientError>& response) {
         const TimePoint now = MonotonicNow();
         --reports_in_flight_;
         if (response) {
-          ApplyServerState(state_, id, started_ms, *response);
+          ApplyServerState(state_, {id, started_ms, sent, {}}, *response);
         }
         const auto report =
             response ? adapter::DecodeReport(*response)
--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -89,10 +89,11 @@
       adapter::MakeOrderRequest(order, state_.settings.instance.value(),
                                 lease_.fence()),
       limits,
-      [this, order, started_ms = server->started_ms](
-          const tl::expected<http::Response, http::ClientError>& response) {
+      [this, order, started_ms = server->started_ms,
+       now](const tl::expected<http::Response, http::ClientError>& response) {
         if (response) {
-          ApplyServerState(state_, order.server, started_ms, *response);
+          ApplyServerState(state_, {order.server, started_ms, now, {}},
+                           *response);
         }
         OnOrderResponse(order, response);
       },
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -139,6 +139,8 @@
   std::optional<serving::AttemptNumber> attempt_;
   std::optional<http::CallId> call_;
   serving::Choice choice_;
+  /** When the current attempt was sent. */
+  TimePoint sent_at_;
 
   // The answer to the current attempt.
   int status_ = 0;
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -152,21 +152,23 @@
   ++sends_;
   needs_.tried.insert(choice.server);
   attempt_ = state_.balancer.OnSent(now, choice, needs_);
-  telemetry::Log(Event::kAttemptSent, {},
-                 {{"request", head_.id.value()},
-                  {"team", team_.value()},
-                  {"route", route_->id.value()},
-                  {"server", choice.server.value()},
-                  {"target", TargetText(needs_.target)},
-                  {"prompt", PromptIdText()},
-                  {"tokens", std::to_string(needs_.prompt_tokens)},
-                  {"config", std::to_string(catalog_->number())},
-                  {"expected_ms", Ms(choice.expected)},
-                  {"wait_ms", Ms(choice.wait)},
-                  {"in_flight", std::to_string(choice.in_flight)},
-                  {"cached", std::to_string(choice.cached_tokens)},
-                  {"remaining_ms", Ms(*fields.remaining)},
-                  {"send", std::to_string(sends_)}});
+  telemetry::Log(
+      Event::kAttemptSent, {},
+      {{"request", head_.id.value()},
+       {"team", team_.value()},
+       {"route", route_->id.value()},
+       {"server", choice.server.value()},
+       {"target", TargetText(needs_.target)},
+       {"prompt", PromptIdText()},
+       {"tokens", std::to_string(needs_.prompt_tokens)},
+       {"config", std::to_string(catalog_->number())},
+       {"expected_ms", Ms(choice.expected)},
+       {"wait_ms", Ms(choice.wait)},
+       {"in_flight", std::to_string(choice.in_flight)},
+       {"cached", std::to_string(choice.cached_tokens)},
+       {"remaining_ms", Ms(*fields.remaining)},
+       {"limit", LimitText(state_.balancer.limits().Find(choice.server))},
+       {"send", std::to_string(sends_)}});
   status_ = 0;
   answer_ = {};
   body_.clear();
@@ -174,6 +176,7 @@
   discarded_bytes_ = 0;
   event_reader_ = {};
   streaming_ = false;
+  sent_at_ = now;
   last_progress_at_ = now;
   StartStallTimer();
   http::CallLimits limits;
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -24,8 +24,9 @@
   if (answer_.load) {
     state_.balancer.OnReportedLoad(now, choice_.server, *answer_.load);
   }
-  ApplyServerState(state_, choice_.server, choice_.started_ms, answer_,
-                   head_.id);
+  ApplyServerState(state_,
+                   {choice_.server, choice_.started_ms, sent_at_, head_.id},
+                   answer_);
   streaming_ = route_->kind == serving::RequestKind::kStreaming &&
                IsSuccess() && answer_.sealed && answer_.names_this_request;
   if (!streaming_ && IsSuccess() && attempt_) {
--- a/apps/edge/server_state.cc
+++ b/apps/edge/server_state.cc
@@ -3,30 +3,58 @@
 #include "log_text.h"
 
 namespace figwell::edge {
+namespace {
 
-void ApplyServerState(State& state, const ServerId& server,
-                      std::int64_t started_ms,
-                      const adapter::ResponseHead& answer,
-                      const RequestId& request) {
+using telemetry::Event;
+
+void ApplyLimit(State& state, const AnsweredCall& call,
+                const std::optional<double>& per_second) {
+  const serving::BackendServer* server = state.directory.Find(call.server);
+  if (server == nullptr || server->started_ms != call.started_ms) {
+    return;  // the server has restarted since, or is gone
+  }
+  // Servers need not state their limit in reports and answers to orders.
+  if (!per_second && call.request.empty()) {
+    return;
+  }
+  const serving::LimitChange change = state.balancer.limits().OnAnswer(
+      MonotonicNow(), call.sent, call.server, per_second);
+  if (change == serving::LimitChange::kNone) {
+    return;
+  }
+  state.metrics
+      .GetCounter("figwell_server_limit_changes_total",
+                  telemetry::Label("change", serving::Name(change)))
+      .Add();
+  telemetry::Log(Event::kServerLimitChanged, serving::Name(change),
+                 {{"server", call.server.value()},
+                  {"per_second", LimitText(per_second)},
+                  {"request", call.request.value()}});
+}
+
+}  // namespace
+
+void ApplyServerState(State& state, const AnsweredCall& call,
+                      const adapter::ResponseHead& answer) {
   if (answer.leaving) {
-    state.on_server_leaving(server, started_ms);
+    state.on_server_leaving(call.server, call.started_ms);
   }
   if (answer.pause) {
-    state.balancer.OnPauseRequested(MonotonicNow(), server, *answer.pause);
+    state.balancer.OnPauseRequested(MonotonicNow(), call.server, *answer.pause);
     state.metrics.GetCounter("figwell_server_pauses_total").Add();
-    telemetry::Log(telemetry::Event::kServerPaused, {},
-                   {{"request", request.value()},
-                    {"server", server.value()},
+    telemetry::Log(Event::kServerPaused, {},
+                   {{"request", call.request.value()},
+                    {"server", call.server.value()},
                     {"pause_ms", Ms(*answer.pause)}});
   }
+  ApplyLimit(state, call, answer.limit_per_second);
 }
 
-void ApplyServerState(State& state, const ServerId& server,
-                      std::int64_t started_ms, const http::Response& response) {
+void ApplyServerState(State& state, const AnsweredCall& call,
+                      const http::Response& response) {
   ApplyServerState(
-      state, server, started_ms,
-      adapter::DecodeResponseHead({}, response.status, response.headers),
-      RequestId());
+      state, call,
+      adapter::DecodeResponseHead({}, response.status, response.headers));
 }
 
 }  // namespace figwell::edge
--- a/apps/edge/server_state.h
+++ b/apps/edge/server_state.h
@@ -5,19 +5,25 @@
 
 namespace figwell::edge {
 
+/** A call to a server that was answered. */
+struct AnsweredCall {
+  ServerId server;
+  /** Start time of the server process that the call was sent to. */
+  std::int64_t started_ms = 0;
+  TimePoint sent;
+  /** The caller's request; empty for an internal call. */
+  RequestId request;
+};
+
 /**
  * Applies what a server's answer reports about the server itself: that it is
- * leaving, or that it asks for a pause.
- * @param started_ms start time of the server process that the call was sent to
- * @param request the request that was answered; empty for an internal call
+ * leaving, asks for a pause, or limits the rate of requests.
  */
-void ApplyServerState(State& state, const ServerId& server,
-                      std::int64_t started_ms,
-                      const adapter::ResponseHead& answer,
-                      const RequestId& request);
+void ApplyServerState(State& state, const AnsweredCall& call,
+                      const adapter::ResponseHead& answer);
 /** The same, for the answer to an internal call. */
-void ApplyServerState(State& state, const ServerId& server,
-                      std::int64_t started_ms, const http::Response& response);
+void ApplyServerState(State& state, const AnsweredCall& call,
+                      const http::Response& response);
 
 }  // namespace figwell::edge
 
--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -15,6 +15,7 @@
  *   balancer.h            Balancer: chooses the server for a request
  *   admission.h           Admit: whether a request can be on time; Retry-After
  *   buffer_budget.h       BufferBudget: memory for answers being relayed
+ *   server_limits.h       ServerLimits: request rates that servers accept
  *   team_rate_limiter.h   TeamRateLimiter: rates and bursts of teams
  *   summary.h             DomainSummary: sums of the reports of a domain
  *   attempts.h            MayRetry, RetryBudget: retries of failed attempts
@@ -42,6 +43,7 @@
 #include "figwell/serving/prefill_wait.h"
 #include "figwell/serving/replica_history.h"
 #include "figwell/serving/replicas.h"
+#include "figwell/serving/server_limits.h"
 #include "figwell/serving/spreading.h"
 #include "figwell/serving/summary.h"
 #include "figwell/serving/team_rate_limiter.h"
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -15,6 +15,7 @@
 #include "figwell/serving/catalog.h"
 #include "figwell/serving/directory.h"
 #include "figwell/serving/prefill_wait.h"
+#include "figwell/serving/server_limits.h"
 
 namespace figwell::serving {
 
@@ -162,6 +163,10 @@
   /** Drops all state of a server that restarted or is gone. */
   void RemoveServer(const ServerId& server);
 
+  /** The rates to which servers limit requests. */
+  ServerLimits& limits() { return limits_; }
+  const ServerLimits& limits() const { return limits_; }
+
   /** This instance's requests in flight by server, to report to its peers. */
   std::map<ServerId, PeerLoad> OwnLoads() const;
   /** Whether a usable server holds the target. */
@@ -261,6 +266,7 @@
   Random random_;
   Duration registry_lag_;
   std::map<ServerId, ServerState> servers_;
+  ServerLimits limits_;
   std::map<InstanceId, PeerState> peers_;
   std::map<DomainId, DomainReachability> domains_;
   std::map<AttemptNumber, Attempt> attempts_;
--- /dev/null
+++ b/libs/serving/include/figwell/serving/server_limits.h
@@ -0,0 +1,62 @@
+#ifndef FIGWELL_SERVING_SERVER_LIMITS_H_
+#define FIGWELL_SERVING_SERVER_LIMITS_H_
+
+/** The request rates to which servers limit the fleet; see serving.h. */
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string_view>
+
+#include "figwell/core.h"
+
+namespace figwell::serving {
+
+/** Effect of a statement on what is known of a server's limit. */
+enum class LimitChange {
+  kNone,
+  kBegan,
+  kChanged,  ///< another rate than before
+  kEnded,
+};
+
+std::string_view Name(LimitChange change);
+
+/**
+ * The limits that servers state in their answers: requests per second from all
+ * instances together. A limit holds until an answer states none.
+ */
+class ServerLimits {
+ public:
+  /**
+   * Applies the statement in a server's answer.
+   * @param sent when the request was sent that was answered
+   * @param per_second nullopt if the answer states no limit
+   */
+  LimitChange OnAnswer(TimePoint now, TimePoint sent, const ServerId& server,
+                       std::optional<double> per_second);
+  /** A peer has learned that a limit began, changed or ended. */
+  LimitChange OnPeerStatement(TimePoint now, const ServerId& server,
+                              std::optional<double> per_second);
+  /** Drops the limit of a server that restarted or is gone. */
+  void RemoveServer(const ServerId& server);
+
+  /** Requests per second; nullopt if the server is not limited. */
+  std::optional<double> Find(const ServerId& server) const;
+  std::size_t size() const { return limits_.size(); }
+
+ private:
+  struct Limit {
+    double per_second = 0;
+    /** When it was last stated, as far as this instance knows. */
+    TimePoint stated_at;
+  };
+
+  LimitChange Set(TimePoint now, const ServerId& server, double per_second);
+
+  std::map<ServerId, Limit> limits_;
+};
+
+}  // namespace figwell::serving
+
+#endif  // FIGWELL_SERVING_SERVER_LIMITS_H_
--- a/libs/serving/src/balancer_outcomes.cc
+++ b/libs/serving/src/balancer_outcomes.cc
@@ -228,6 +228,7 @@
 
 void Balancer::RemoveServer(const ServerId& server) {
   servers_.erase(server);
+  limits_.RemoveServer(server);
   std::erase_if(attempts_,
                 [&](const auto& item) { return item.second.server == server; });
 }
--- /dev/null
+++ b/libs/serving/src/server_limits.cc
@@ -0,0 +1,66 @@
+#include "figwell/serving/server_limits.h"
+
+#include <utility>
+
+namespace figwell::serving {
+
+std::string_view Name(LimitChange change) {
+  switch (change) {
+    case LimitChange::kNone:
+      return "none";
+    case LimitChange::kBegan:
+      return "began";
+    case LimitChange::kChanged:
+      return "changed";
+    case LimitChange::kEnded:
+      return "ended";
+  }
+  return "unknown";
+}
+
+LimitChange ServerLimits::Set(TimePoint now, const ServerId& server,
+                              double per_second) {
+  const auto [found, added] = limits_.try_emplace(server);
+  const double former =
+      std::exchange(found->second, Limit{per_second, now}).per_second;
+  if (added) {
+    return LimitChange::kBegan;
+  }
+  return former == per_second ? LimitChange::kNone : LimitChange::kChanged;
+}
+
+LimitChange ServerLimits::OnAnswer(TimePoint now, TimePoint sent,
+                                   const ServerId& server,
+                                   std::optional<double> per_second) {
+  if (per_second) {
+    return Set(now, server, *per_second);
+  }
+  const auto found = limits_.find(server);
+  // An answer to an earlier request may have been written before the limit
+  // began: answers on different connections overtake each other.
+  if (found == limits_.end() || sent < found->second.stated_at) {
+    return LimitChange::kNone;
+  }
+  limits_.erase(found);
+  return LimitChange::kEnded;
+}
+
+LimitChange ServerLimits::OnPeerStatement(TimePoint now, const ServerId& server,
+                                          std::optional<double> per_second) {
+  if (per_second) {
+    return Set(now, server, *per_second);
+  }
+  return limits_.erase(server) > 0 ? LimitChange::kEnded : LimitChange::kNone;
+}
+
+void ServerLimits::RemoveServer(const ServerId& server) {
+  limits_.erase(server);
+}
+
+std::optional<double> ServerLimits::Find(const ServerId& server) const {
+  const auto found = limits_.find(server);
+  return found == limits_.end() ? std::nullopt
+                                : std::optional(found->second.per_second);
+}
+
+}  // namespace figwell::serving
--- a/libs/telemetry/include/figwell/telemetry.h
+++ b/libs/telemetry/include/figwell/telemetry.h
@@ -67,6 +67,7 @@
   kServerChanged = 1607,
   kEntryUnreadable = 1608,
   kServerPaused = 1609,
+  kServerLimitChanged = 1610,
   kLeaseAcquired = 1701,
   kLeaseLost = 1702,
   kOrderSent = 1703,
--- a/libs/telemetry/src/event_catalogue.cc
+++ b/libs/telemetry/src/event_catalogue.cc
@@ -44,6 +44,7 @@
     EventInfo{Event::kServerChanged, "server_changed", Level::kInfo},
     EventInfo{Event::kEntryUnreadable, "entry_unreadable", Level::kWarning},
     EventInfo{Event::kServerPaused, "server_paused", Level::kInfo},
+    EventInfo{Event::kServerLimitChanged, "server_limit_changed", Level::kInfo},
     EventInfo{Event::kLeaseAcquired, "lease_acquired", Level::kInfo},
     EventInfo{Event::kLeaseLost, "lease_lost", Level::kWarning},
     EventInfo{Event::kOrderSent, "order_sent", Level::kInfo},
--- a/libs/telemetry/src/metric_catalogue.cc
+++ b/libs/telemetry/src/metric_catalogue.cc
@@ -26,6 +26,8 @@
     MetricInfo{"figwell_servers_leaving_total", "counter",
                "Servers that said themselves that they leave, before their "
                "entry did"},
+    MetricInfo{"figwell_server_limit_changes_total", "counter",
+               "Limits of servers that began, changed or ended, by change"},
     MetricInfo{"figwell_server_pauses_total", "counter",
                "Answers with which a server asked for a pause"},
     MetricInfo{"figwell_unexpected_errors_total", "counter",
@@ -43,6 +45,8 @@
                "Time from a request to the end of its answer, by route kind"},
     MetricInfo{"figwell_leads", "gauge",
                "Whether this instance orders the backend servers"},
+    MetricInfo{"figwell_servers_limited", "gauge",
+               "Backend servers that limit the rate of requests"},
     MetricInfo{"figwell_servers_usable", "gauge",
                "Backend servers that new work may go to"},
     MetricInfo{"figwell_peers_heard", "gauge",
