Keep the whole fleet within the limits that servers state

What callers saw: nothing at once; a server in need that had stated a limit of 1.6 requests a second kept getting 7, and its callers waited longer than others.

Cause: no code read Server-Limit, and nothing in figwell could have kept it: servers were chosen by expected time alone, and the only bounds over the whole fleet are those of teams. What a server states in an answer was applied by the instance that got the answer (pauses) or announced (leaving), never shared out.

The orders of the leader arrive at the server as well: the users' count for a window exceeds the attempts of all instances by about their number.

Change: limits are announced to all instances, and a request to a limited server needs a permit of the server's arbiter, one instance of its failure domain, which schedules the requests of all with the generic cell rate algorithm. Requests wait for a permit as long as they can meet their target, then go elsewhere or are refused with the time until the next one. Reports and orders are counted too. A server with a limit costs one interval more than others when a server is chosen.

Why it works: one schedule per server, so that the sum is bounded whatever the number of instances; a lost message or a dead arbiter loses permits and grants none; a partition's sides schedule disjoint parts of the limit.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -120,8 +120,9 @@
                 ApplyConfiguration(document, "peer");
               },
               [] {}}),
+      permits_(state_, peers_),
       registrar_(state_, store_),
-      placement_(state_, store_, server_http_, peers_, registrar_,
+      placement_(state_, store_, server_http_, peers_, permits_, registrar_,
                  incarnation_),
       configuration_follower_(
           context_, store_, std::string(adapter::kConfigurationPrefix),
@@ -175,6 +176,10 @@
                                     std::int64_t started_ms) {
     OnServerLeaving(id, started_ms, std::nullopt);
   };
+  state_.on_server_limit_change = [this](const ServerId& id,
+                                         serving::LimitChange change) {
+    OnServerLimitChange(id, change, std::nullopt);
+  };
 }
 
 Result<void> Edge::Listen() {
@@ -241,7 +246,7 @@
 }
 
 void Edge::OnCallerRequest(http::ExchangePtr exchange) {
-  std::make_shared<CallerRequest>(state_, server_http_, placement_,
+  std::make_shared<CallerRequest>(state_, server_http_, placement_, permits_,
                                   std::move(exchange))
       ->Start();
 }
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "peer_group.h"
+#include "permit_client.h"
 #include "placement_driver.h"
 #include "registrar.h"
 #include "request.h"
@@ -57,6 +58,11 @@
   /** A server announced that it is leaving, here or to the peer `from`. */
   void OnServerLeaving(const ServerId& id, std::int64_t started_ms,
                        const std::optional<InstanceId>& from);
+  /** A peer announced that a server's limit began, changed or ended. */
+  void OnServerLimit(const InstanceId& from, const ServerLimitMessage& message);
+  /** A server's limit has changed, as stated here or to the peer `from`. */
+  void OnServerLimitChange(const ServerId& id, serving::LimitChange change,
+                           const std::optional<InstanceId>& from);
   void OnInstanceEntries(const std::vector<serving::LoggedEntry>& entries);
   void ApplyInstanceEntry(const serving::LoggedEntry& entry);
 
@@ -67,8 +73,14 @@
   void OnDomainStatus(const InstanceId& from,
                       const DomainStatusMessage& message);
   void OnPlacements(const InstanceId& from, const PlacementMessage& message);
-  void AnnounceServerLeaving(const ServerLeavingMessage& message,
-                             const std::optional<InstanceId>& from);
+  /**
+   * Sends what a server has stated to the own domain and to the other domains'
+   * delegates, or forwards it there.
+   * @param from the peer that sent it; nullopt if the server stated it here
+   */
+  template <typename Message>
+  void Announce(MessageKind kind, const Message& message,
+                const std::optional<InstanceId>& from);
   /** The loads in one part of a status message, of known servers only. */
   std::map<ServerId, serving::PeerLoad> DecodeLoads(
       const StatusMessage& status) const;
@@ -111,6 +123,7 @@
   http::Client server_http_;
   adapter::StoreClient store_;
   PeerGroup peers_;
+  PermitClient permits_;
   Registrar registrar_;
   PlacementDriver placement_;
   StoreFollower configuration_follower_;
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -75,6 +75,21 @@
         OnServerLeaving(ServerId(leaving->server), leaving->started_ms, from);
       }
       return;
+    case MessageKind::kServerLimit:
+      if (const auto limit = peers::Unpack<ServerLimitMessage>(bytes)) {
+        OnServerLimit(from, *limit);
+      }
+      return;
+    case MessageKind::kPermitRequest:
+      if (const auto request = peers::Unpack<PermitRequestMessage>(bytes)) {
+        permits_.OnRequest(from, *request);
+      }
+      return;
+    case MessageKind::kPermitReply:
+      if (const auto reply = peers::Unpack<PermitReplyMessage>(bytes)) {
+        permits_.OnReply(*reply);
+      }
+      return;
     case MessageKind::kAdapterRequest:
       if (const auto request = peers::Unpack<AdapterRequestMessage>(bytes)) {
         placement_.OnAdapterRequest(*request);
@@ -99,8 +114,9 @@
                  {{"from", from.value()}, {"items", text}});
 }
 
-void Edge::AnnounceServerLeaving(const ServerLeavingMessage& message,
-                                 const std::optional<InstanceId>& from) {
+template <typename Message>
+void Edge::Announce(MessageKind kind, const Message& message,
+                    const std::optional<InstanceId>& from) {
   const DomainId& own = state_.settings.failure_domain;
   const auto& reachable = peers_.Reachable();
   const bool from_own_domain =
@@ -108,17 +124,22 @@
   if (from_own_domain) {
     return;  // it has announced this to the whole domain
   }
-  peers_.SendToOwnDomain(MessageKind::kServerLeaving, message);
+  peers_.SendToOwnDomain(kind, message);
   if (from) {
     return;
   }
   for (const auto& [domain, delegate] : peers_.Delegates()) {
     if (domain != own) {
-      peers_.Send(delegate, MessageKind::kServerLeaving, message);
+      peers_.Send(delegate, kind, message);
     }
   }
 }
 
+template void Edge::Announce(MessageKind, const ServerLeavingMessage&,
+                             const std::optional<InstanceId>&);
+template void Edge::Announce(MessageKind, const ServerLimitMessage&,
+                             const std::optional<InstanceId>&);
+
 std::map<ServerId, serving::PeerLoad> Edge::DecodeLoads(
     const StatusMessage& status) const {
   std::map<ServerId, serving::PeerLoad> loads;
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -1,4 +1,5 @@
 #include "edge.h"
+#include "log_text.h"
 
 namespace figwell::edge {
 namespace {
@@ -160,6 +161,7 @@
   }
   if (change == ServerChange::kRestarted || change == ServerChange::kGone) {
     state_.balancer.RemoveServer(id);
+    permits_.RemoveServer(id);
   }
   if (change == ServerChange::kAppeared || change == ServerChange::kRestarted) {
     server_of_hash_[StableHash(id.value())] = id;
@@ -190,7 +192,45 @@
                   {"from", from ? from->value() : ""},
                   {"started_ms", std::to_string(started_ms)}});
   OnServerChange(id, change);
-  AnnounceServerLeaving({id.value(), started_ms}, from);
+  Announce(MessageKind::kServerLeaving,
+           ServerLeavingMessage{id.value(), started_ms}, from);
+}
+
+void Edge::OnServerLimit(const InstanceId& from,
+                         const ServerLimitMessage& message) {
+  const ServerId id(message.server);
+  const serving::BackendServer* server = state_.directory.Find(id);
+  if (server == nullptr || server->started_ms != message.started_ms) {
+    return;
+  }
+  const auto change = state_.balancer.limits().OnPeerStatement(
+      MonotonicNow(), id,
+      message.limited ? std::optional(message.per_second) : std::nullopt);
+  if (change != serving::LimitChange::kNone) {
+    OnServerLimitChange(id, change, from);
+  }
+}
+
+void Edge::OnServerLimitChange(const ServerId& id, serving::LimitChange change,
+                               const std::optional<InstanceId>& from) {
+  const auto limit = state_.balancer.limits().Find(id);
+  state_.metrics
+      .GetCounter("figwell_server_limit_changes_total",
+                  telemetry::Label("change", serving::Name(change)))
+      .Add();
+  telemetry::Log(Event::kServerLimitChanged, serving::Name(change),
+                 {{"server", id.value()},
+                  {"per_second", LimitText(limit)},
+                  {"from", from ? from->value() : ""}});
+  if (!limit) {
+    permits_.RemoveServer(id);
+  }
+  const serving::BackendServer* server = state_.directory.Find(id);
+  Announce(
+      MessageKind::kServerLimit,
+      ServerLimitMessage{id.value(), server == nullptr ? 0 : server->started_ms,
+                         limit.has_value(), limit.value_or(0)},
+      from);
 }
 
 // ---------------------------------------------------------------- instances
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -21,6 +21,9 @@
   kChangesRequest = 6,
   kChanges = 7,
   kServerLeaving = 8,
+  kServerLimit = 9,
+  kPermitRequest = 10,
+  kPermitReply = 11,
 };
 
 /** Work that the sender has in flight at one server. */
@@ -196,6 +199,61 @@
   }
 };
 
+/**
+ * A server's limit began, changed or ended. Sent and forwarded like
+ * ServerLeavingMessage.
+ */
+struct ServerLimitMessage {
+  std::string server;
+  std::int64_t started_ms = 0;
+  bool limited = false;
+  double per_second = 0;  ///< if limited
+
+  friend bool operator==(const ServerLimitMessage&,
+                         const ServerLimitMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(server, started_ms, limited, per_second);
+  }
+};
+
+/** Asks a server's arbiter for a permit for one request. */
+struct PermitRequestMessage {
+  /** Number of a request that the sender does not wait to be permitted. */
+  static constexpr std::uint64_t kNoReply = 0;
+
+  std::uint64_t number = kNoReply;
+  std::string server;
+  /** The server's limit, as far as the sender knows. */
+  double per_second = 0;
+  /** How long the request can wait for its permit. */
+  std::uint32_t max_wait_ms = 0;
+
+  friend bool operator==(const PermitRequestMessage&,
+                         const PermitRequestMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(number, server, per_second, max_wait_ms);
+  }
+};
+
+/** The arbiter's reply; see serving::Permit. */
+struct PermitReplyMessage {
+  std::uint64_t number = 0;
+  bool granted = false;
+  std::uint32_t wait_ms = 0;
+
+  friend bool operator==(const PermitReplyMessage&,
+                         const PermitReplyMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(number, granted, wait_ms);
+  }
+};
+
 /** A request is waiting for an adapter that no server holds. */
 struct AdapterRequestMessage {
   std::string model;
--- a/apps/edge/peer_group.h
+++ b/apps/edge/peer_group.h
@@ -76,6 +76,8 @@
 
   /** Peers that have neither left nor been declared dead; their domains. */
   const std::map<InstanceId, DomainId>& Reachable() const;
+  /** Other members that are alive and not suspect, with their domains. */
+  const std::map<InstanceId, DomainId>& Live() const { return Members().live; }
   /** Other members of the own domain that are alive and not suspect. */
   std::set<InstanceId> LiveInOwnDomain() const;
   /**
--- a/apps/edge/placement_driver.cc
+++ b/apps/edge/placement_driver.cc
@@ -46,12 +46,13 @@
 
 PlacementDriver::PlacementDriver(State& state, adapter::StoreClient& store,
                                  http::Client& client, PeerGroup& peers,
-                                 Registrar& registrar,
+                                 PermitClient& permits, Registrar& registrar,
                                  std::uint64_t incarnation)
     : state_(state),
       store_(store),
       client_(client),
       peers_(peers),
+      permits_(permits),
       registrar_(registrar),
       timer_(state.context),
       announce_timer_(state.context),
@@ -251,16 +252,21 @@
   }
 }
 
+bool PlacementDriver::MayCall(TimePoint now, const ServerId& server) const {
+  return !state_.balancer.IsPaused(now, server) &&
+         permits_.MayCall(now, server);
+}
+
 void PlacementDriver::ReadReports(TimePoint now, const ServiceId& service) {
   for (const auto& [id, entry] : state_.directory.entries()) {
     const serving::BackendServer& server = entry.server;
     if (reports_in_flight_ >= kMaxConcurrentReports) {
       return;
     }
-    if (server.service == service && !server.draining &&
-        !state_.balancer.IsPaused(now, id) &&
+    if (server.service == service && !server.draining && MayCall(now, id) &&
         order_tracker_.NeedsReport(now, id)) {
       order_tracker_.OnReportRequested(now, id);
+      permits_.OnInternalCall(now, id);
       ReadReport(server);
     }
   }
@@ -310,8 +316,8 @@
                              state_.settings.bounds.registry_lag);
     serving::EngineState engine =
         order_tracker_.StateOf(now, id, entry.server.models);
-    engine.orderable = engine.orderable && !pending_unloads_.contains(id) &&
-                       !state_.balancer.IsPaused(now, id);
+    engine.orderable =
+        engine.orderable && !pending_unloads_.contains(id) && MayCall(now, id);
     if (const auto unload = pending_unloads_.find(id);
         unload != pending_unloads_.end()) {
       const serving::ModelTarget& target = unload->second.move.target;
--- a/apps/edge/placement_driver.h
+++ b/apps/edge/placement_driver.h
@@ -8,6 +8,7 @@
 
 #include "messages.h"
 #include "peer_group.h"
+#include "permit_client.h"
 #include "registrar.h"
 #include "state.h"
 
@@ -24,8 +25,8 @@
 class PlacementDriver {
  public:
   PlacementDriver(State& state, adapter::StoreClient& store,
-                  http::Client& client, PeerGroup& peers, Registrar& registrar,
-                  std::uint64_t incarnation);
+                  http::Client& client, PeerGroup& peers, PermitClient& permits,
+                  Registrar& registrar, std::uint64_t incarnation);
 
   void Start();
   /** The leader's key changed in the store; nullopt: it does not exist. */
@@ -62,6 +63,8 @@
   void Execute(const serving::ReadKey& action);
   void UpdateLeadership(TimePoint now);
 
+  /** Whether the server accepts an internal call now: no pause, no limit. */
+  bool MayCall(TimePoint now, const ServerId& server) const;
   void ReadReports(TimePoint now, const ServiceId& service);
   void ReadReport(const serving::BackendServer& server);
   void Plan(TimePoint now, const serving::ServiceSpec& service);
@@ -87,6 +90,7 @@
   adapter::StoreClient& store_;
   http::Client& client_;
   PeerGroup& peers_;
+  PermitClient& permits_;
   Registrar& registrar_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer announce_timer_;
--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -69,9 +69,10 @@
   const serving::BackendServer* server = state_.directory.Find(move.server);
   if (server == nullptr ||
       order_tracker_.FindOrderable(now, move.server) == nullptr ||
-      state_.balancer.IsPaused(now, move.server) || !lease_.Leads(now)) {
+      !MayCall(now, move.server) || !lease_.Leads(now)) {
     return false;
   }
+  permits_.OnInternalCall(now, move.server);
   const serving::Order order =
       order_tracker_.Begin(now, move.server, move.action, move.target);
   telemetry::Log(Event::kOrderSent, serving::Name(move.reason),
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -32,17 +32,19 @@
 }  // namespace
 
 CallerRequest::CallerRequest(State& state, http::Client& client,
-                             PlacementDriver& placement,
+                             PlacementDriver& placement, PermitClient& permits,
                              http::ExchangePtr caller)
     : state_(state),
       client_(client),
       placement_(placement),
+      permits_(permits),
       caller_(std::move(caller)),
       catalog_(state.catalog),
       arrived_(MonotonicNow()),
       deadline_(arrived_ + kMaxRequestDuration),
       deadline_timer_(state.context),
       adapter_timer_(state.context),
+      permit_timer_(state.context),
       stall_timer_(state.context) {
   ++state_.active_requests;
 }
@@ -241,6 +243,7 @@
   done_ = true;
   deadline_timer_.cancel();
   adapter_timer_.cancel();
+  permit_timer_.cancel();
   stall_timer_.cancel();
   ReleaseBuffer(reserved_bytes_);
   caller_->OnClosed(nullptr);
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -8,6 +8,7 @@
 
 #include "figwell/adapter.h"
 #include "figwell/http.h"
+#include "permit_client.h"
 #include "placement_driver.h"
 #include "state.h"
 
@@ -24,7 +25,7 @@
 class CallerRequest : public std::enable_shared_from_this<CallerRequest> {
  public:
   CallerRequest(State& state, http::Client& client, PlacementDriver& placement,
-                http::ExchangePtr caller);
+                PermitClient& permits, http::ExchangePtr caller);
   ~CallerRequest();
   CallerRequest(const CallerRequest&) = delete;
   CallerRequest& operator=(const CallerRequest&) = delete;
@@ -55,6 +56,17 @@
 
   // request_attempt.cc
   void StartAttempt();
+  /** Sends once the server's arbiter has granted a permit. */
+  void AcquirePermit(const serving::Choice& choice);
+  void OnPermit(const serving::Choice& choice, const serving::Permit& permit);
+  /** Sends, unless the server can no longer take requests. */
+  void SendPermitted(const serving::Choice& choice);
+  /**
+   * Refuses the request if it has not run and all of its servers are at their
+   * limits.
+   * @return whether it was refused
+   */
+  bool RefuseIfAllLimited();
   void WaitForAdapter();
   /**
    * Refuses the request if it has not run and all of its servers are paused.
@@ -112,6 +124,7 @@
   State& state_;
   http::Client& client_;
   PlacementDriver& placement_;
+  PermitClient& permits_;
   http::ExchangePtr caller_;
   /** The configuration that applies to this request until its end. */
   serving::CatalogPtr catalog_;
@@ -126,11 +139,14 @@
   serving::RequestNeeds needs_;
   boost::asio::steady_timer deadline_timer_;
   boost::asio::steady_timer adapter_timer_;
+  boost::asio::steady_timer permit_timer_;
   boost::asio::steady_timer stall_timer_;
   TimePoint adapter_wait_end_;
   bool waiting_for_adapter_ = false;
 
   // All attempts.
+  /** The shortest time until a server at its limit can take a request. */
+  std::optional<Duration> permit_delay_;
   int sends_ = 0;
   /** Attempts that failed before any byte was sent, typically connecting. */
   int unsent_attempts_ = 0;
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -34,7 +34,7 @@
   const auto choice =
       state_.balancer.Choose(now, *catalog_, state_.directory, needs_);
   if (!choice) {
-    if (RefuseIfAllPaused()) {
+    if (RefuseIfAllLimited() || RefuseIfAllPaused()) {
       return;
     }
     if (sends_ == 0 && !needs_.target.adapter.empty()) {
@@ -54,7 +54,66 @@
                        Ms(choice->wait), choice->in_flight, Ms(Remaining())));
     return;
   }
-  Send(*choice);
+  AcquirePermit(*choice);
+}
+
+void CallerRequest::AcquirePermit(const serving::Choice& choice) {
+  if (!state_.balancer.limits().Find(choice.server)) {
+    Send(choice);
+    return;
+  }
+  permits_.Acquire(
+      choice.server,
+      serving::MaxPermitWait(*route_, choice, Elapsed(), Remaining()),
+      [self = shared_from_this(), choice](const serving::Permit& permit) {
+        if (!self->done_) {
+          self->OnPermit(choice, permit);
+        }
+      });
+}
+
+void CallerRequest::OnPermit(const serving::Choice& choice,
+                             const serving::Permit& permit) {
+  if (!permit.granted) {
+    needs_.at_limit.insert(choice.server);
+    permit_delay_ = std::min(permit_delay_.value_or(permit.wait), permit.wait);
+    StartAttempt();
+    return;
+  }
+  if (permit.wait.count() == 0) {
+    SendPermitted(choice);
+    return;
+  }
+  state_.metrics.GetCounter("figwell_permit_waits_total").Add();
+  permit_timer_.expires_after(permit.wait);
+  permit_timer_.async_wait([self = shared_from_this(),
+                            choice](const boost::system::error_code& error) {
+    if (!error && !self->done_) {
+      self->SendPermitted(choice);
+    }
+  });
+}
+
+void CallerRequest::SendPermitted(const serving::Choice& choice) {
+  const serving::BackendServer* server = state_.directory.Find(choice.server);
+  if (server == nullptr || server->draining ||
+      server->started_ms != choice.started_ms ||
+      state_.balancer.IsPaused(MonotonicNow(), choice.server)) {
+    StartAttempt();
+    return;
+  }
+  Send(choice);
+}
+
+bool CallerRequest::RefuseIfAllLimited() {
+  if (may_have_run_ || !permit_delay_) {
+    return false;
+  }
+  Refuse(serving::RefusalReason::kLimited,
+         serving::RetryAfterForLoad(*permit_delay_, Remaining()),
+         fmt::format("{} servers at their limits, earliest permit in {}",
+                     needs_.at_limit.size(), Ms(*permit_delay_)));
+  return true;
 }
 
 void CallerRequest::WaitForAdapter() {
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -209,6 +209,10 @@
     other = state_.balancer.Choose(MonotonicNow(), *catalog_, state_.directory,
                                    needs_);
   }
+  // The answer at hand is not held back for a permit.
+  if (other && state_.balancer.limits().Find(other->server)) {
+    other.reset();
+  }
   if (other && state_.retries.TryConsumeRetry(MonotonicNow(), needs_.service)) {
     state_.balancer.OnEnd(MonotonicNow(), *attempt_,
                           serving::AttemptEnd::kFailed);
--- a/apps/edge/server_state.cc
+++ b/apps/edge/server_state.cc
@@ -19,17 +19,9 @@
   }
   const serving::LimitChange change = state.balancer.limits().OnAnswer(
       MonotonicNow(), call.sent, call.server, per_second);
-  if (change == serving::LimitChange::kNone) {
-    return;
+  if (change != serving::LimitChange::kNone) {
+    state.on_server_limit_change(call.server, change);
   }
-  state.metrics
-      .GetCounter("figwell_server_limit_changes_total",
-                  telemetry::Label("change", serving::Name(change)))
-      .Add();
-  telemetry::Log(Event::kServerLimitChanged, serving::Name(change),
-                 {{"server", call.server.value()},
-                  {"per_second", LimitText(per_second)},
-                  {"request", call.request.value()}});
 }
 
 }  // namespace
--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -50,6 +50,9 @@
    */
   std::function<void(const ServerId&, std::int64_t started_ms)>
       on_server_leaving;
+  /** A server's limit has changed, as it stated in an answer. */
+  std::function<void(const ServerId&, serving::LimitChange)>
+      on_server_limit_change;
   /** Reports this instance's charges to the peers before the next interval. */
   std::function<void()> send_interim_status;
 };
--- a/fuzz/edge_messages_fuzz.cc
+++ b/fuzz/edge_messages_fuzz.cc
@@ -26,6 +26,9 @@
   TryUnpack<edge::DemandMessage>(input);
   TryUnpack<edge::PlacementMessage>(input);
   TryUnpack<edge::ServerLeavingMessage>(input);
+  TryUnpack<edge::ServerLimitMessage>(input);
+  TryUnpack<edge::PermitRequestMessage>(input);
+  TryUnpack<edge::PermitReplyMessage>(input);
   TryUnpack<edge::AdapterRequestMessage>(input);
   TryUnpack<edge::ChangesRequestMessage>(input);
   if (const auto changes = peers::Unpack<edge::ChangesMessage>(input)) {
--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -20,6 +20,7 @@
  *   summary.h             DomainSummary: sums of the reports of a domain
  *   attempts.h            MayRetry, RetryBudget: retries of failed attempts
  *   leadership.h          PlacementLease: which instance sends orders
+ *   permits.h             PermitScheduler: requests to servers with a limit
  *   demand.h              DemandMeter, DemandForecast: demand now and later
  *   engine_state.h        EngineState: a server as placement plans see it
  *   replica_history.h     ReplicaHistory: how long models wait or are held
@@ -40,6 +41,7 @@
 #include "figwell/serving/follower_selection.h"
 #include "figwell/serving/leadership.h"
 #include "figwell/serving/order_tracker.h"
+#include "figwell/serving/permits.h"
 #include "figwell/serving/prefill_wait.h"
 #include "figwell/serving/replica_history.h"
 #include "figwell/serving/replicas.h"
--- a/libs/serving/include/figwell/serving/admission.h
+++ b/libs/serving/include/figwell/serving/admission.h
@@ -23,6 +23,7 @@
   kTimedOut,    ///< its deadline passed before a server took it
   kShed,        ///< every server that was tried rejected it
   kPaused,      ///< every server that could take it requested a pause
+  kLimited,     ///< every server that could take it is at its limit
 };
 
 std::string_view Name(RefusalReason reason);
@@ -51,6 +52,13 @@
 Admission Admit(const Route& route, const Choice& choice, Duration elapsed,
                 Duration remaining);
 
+/**
+ * How long a request can wait for a permit: until it would miss its target, or
+ * its deadline if it has no target.
+ */
+Duration MaxPermitWait(const Route& route, const Choice& choice,
+                       Duration elapsed, Duration remaining);
+
 /**
  * When a caller that was refused for load should retry: once the work ahead is
  * done, but not before kMinRetryAfter and not after a third of the caller's
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -29,6 +29,8 @@
   std::vector<PromptPrefix> prefixes;
   /** Servers that the request was sent to before. */
   std::set<ServerId> tried;
+  /** Servers that have no permit for the request. */
+  std::set<ServerId> at_limit;
   /**
    * Work for the model that other instances have sent but not yet reported; see
    * UnreportedWork.
--- a/libs/serving/include/figwell/serving/server_limits.h
+++ b/libs/serving/include/figwell/serving/server_limits.h
@@ -16,7 +16,7 @@
 enum class LimitChange {
   kNone,
   kBegan,
-  kChanged,  ///< another rate than before
+  kChanged,  ///< differs clearly from the rate at the last change
   kEnded,
 };
 
@@ -48,6 +48,8 @@
  private:
   struct Limit {
     double per_second = 0;
+    /** The rate when it last began or changed. */
+    double per_second_at_change = 0;
     /** When it was last stated, as far as this instance knows. */
     TimePoint stated_at;
   };
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -44,6 +44,8 @@
       return "shed";
     case RefusalReason::kPaused:
       return "paused";
+    case RefusalReason::kLimited:
+      return "limited";
   }
   return "unknown";
 }
@@ -85,6 +87,15 @@
   return Admission::kSend;
 }
 
+Duration MaxPermitWait(const Route& route, const Choice& choice,
+                       Duration elapsed, Duration remaining) {
+  Duration wait = remaining - choice.expected;
+  if (route.latency_target.count() > 0) {
+    wait = std::min(wait, route.latency_target - elapsed - choice.expected);
+  }
+  return std::max(Duration{0}, wait);
+}
+
 Duration RetryAfterForLoad(Duration work_ahead, Duration remaining) {
   return std::max(kMinRetryAfter,
                   std::min(work_ahead, remaining / kRetryAfterDivisor));
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "balancer_times.h"
+#include "figwell/serving/permits.h"
 #include "figwell/serving/spreading.h"
 
 namespace figwell::serving {
@@ -222,6 +223,10 @@
   if (excess > 0) {
     cost += excess * kExcessFailureCostMs;
   }
+  if (const auto limit = limits_.Find(server.id)) {
+    // A request that has to wait for its permit waits for one interval or more.
+    cost += ToMs(RequestInterval(*limit));
+  }
   return cost;
 }
 
@@ -297,7 +302,7 @@
   std::vector<const BackendServer*> candidates;
   for (const auto& [id, entry] : directory.entries()) {
     const BackendServer& server = entry.server;
-    if (!needs.tried.contains(id) &&
+    if (!needs.tried.contains(id) && !needs.at_limit.contains(id) &&
         CanServe(now, server, needs.service, needs.target) &&
         !IsSkipped(now, id)) {
       candidates.push_back(&server);
--- a/libs/serving/src/server_limits.cc
+++ b/libs/serving/src/server_limits.cc
@@ -1,8 +1,15 @@
 #include "figwell/serving/server_limits.h"
 
-#include <utility>
+#include <cmath>
 
 namespace figwell::serving {
+namespace {
+
+// A server may adapt its limit with each answer. Peers are notified of changes
+// by more than this fraction.
+constexpr double kMinChangeFraction = 0.1;
+
+}  // namespace
 
 std::string_view Name(LimitChange change) {
   switch (change) {
@@ -21,12 +28,15 @@
 LimitChange ServerLimits::Set(TimePoint now, const ServerId& server,
                               double per_second) {
   const auto [found, added] = limits_.try_emplace(server);
-  const double former =
-      std::exchange(found->second, Limit{per_second, now}).per_second;
-  if (added) {
-    return LimitChange::kBegan;
+  Limit& limit = found->second;
+  limit.per_second = per_second;
+  limit.stated_at = now;
+  const double difference = std::abs(per_second - limit.per_second_at_change);
+  if (!added && difference <= kMinChangeFraction * limit.per_second_at_change) {
+    return LimitChange::kNone;
   }
-  return former == per_second ? LimitChange::kNone : LimitChange::kChanged;
+  limit.per_second_at_change = per_second;
+  return added ? LimitChange::kBegan : LimitChange::kChanged;
 }
 
 LimitChange ServerLimits::OnAnswer(TimePoint now, TimePoint sent,
--- a/libs/serving/tests/admission_test.cc
+++ b/libs/serving/tests/admission_test.cc
@@ -79,5 +79,20 @@
         milliseconds(2'000));
 }
 
+TEST_CASE("a request waits for a permit until it would miss its target") {
+  Route route;
+  Choice choice;
+  choice.expected = milliseconds(100);
+  const auto wait = [&](int elapsed_ms, int remaining_ms) {
+    return MaxPermitWait(route, choice, milliseconds(elapsed_ms),
+                         milliseconds(remaining_ms));
+  };
+  CHECK(wait(50, 1'000) == milliseconds(900));
+  route.latency_target = milliseconds(800);
+  CHECK(wait(50, 5'000) == milliseconds(650));
+  CHECK(wait(50, 300) == milliseconds(200));
+  CHECK(wait(900, 5'000) == Duration{0});
+}
+
 }  // namespace
 }  // namespace figwell::serving
--- a/libs/serving/tests/balancer_test.cc
+++ b/libs/serving/tests/balancer_test.cc
@@ -319,5 +319,22 @@
   CHECK(fixture.Choose(100, DeskNeeds()) == "b");
 }
 
+TEST_CASE("a server with a limit is chosen only if others cost more") {
+  Fixture fixture;
+  fixture.directory.Put(MakeServer("a", kDesk, "here"));
+  fixture.directory.Put(MakeServer("b", kDesk, "there"));
+  CHECK(fixture.Choose(0, DeskNeeds()) == "a");
+  fixture.balancer.limits().OnPeerStatement(At(0), ServerId("a"), 2.0);
+  CHECK(fixture.Choose(10, DeskNeeds()) == "b");
+  // 100 requests a second leave 10 ms between two, less than the other domain.
+  fixture.balancer.limits().OnPeerStatement(At(20), ServerId("a"), 100.0);
+  CHECK(fixture.Choose(30, DeskNeeds()) == "a");
+  RequestNeeds needs = DeskNeeds();
+  needs.at_limit.insert(ServerId("a"));
+  CHECK(fixture.Choose(40, needs) == "b");
+  fixture.balancer.RemoveServer(ServerId("a"));
+  CHECK(fixture.balancer.limits().size() == 0);
+}
+
 }  // namespace
 }  // namespace figwell::serving
--- a/libs/serving/tests/server_limits_test.cc
+++ b/libs/serving/tests/server_limits_test.cc
@@ -19,6 +19,9 @@
   CHECK(limits.OnAnswer(At(20), At(15), kServer, 2.0) == LimitChange::kNone);
   CHECK(limits.OnAnswer(At(30), At(25), kServer, 1.5) == LimitChange::kChanged);
   CHECK(limits.Find(kServer) == 1.5);
+  CHECK(limits.OnAnswer(At(40), At(35), kServer, 1.4) == LimitChange::kNone);
+  CHECK(limits.Find(kServer) == 1.4);
+  CHECK(limits.OnAnswer(At(45), At(40), kServer, 1.3) == LimitChange::kChanged);
   CHECK(limits.Find(ServerId("other")) == std::nullopt);
   CHECK(limits.OnAnswer(At(60), At(50), kServer, std::nullopt) ==
         LimitChange::kEnded);
--- a/libs/telemetry/src/metric_catalogue.cc
+++ b/libs/telemetry/src/metric_catalogue.cc
@@ -28,6 +28,8 @@
                "entry did"},
     MetricInfo{"figwell_server_limit_changes_total", "counter",
                "Limits of servers that began, changed or ended, by change"},
+    MetricInfo{"figwell_permit_waits_total", "counter",
+               "Requests that waited for a permit of a limited server"},
     MetricInfo{"figwell_server_pauses_total", "counter",
                "Answers with which a server asked for a pause"},
     MetricInfo{"figwell_unexpected_errors_total", "counter",
