Place models of limited servers on other servers too

Cause: placement counted replicas on a limited server as full ones, so that a model which only that server holds stayed there, reachable at the limit's rate. Requests with a shared prefix still preferred the limited server as well.

--- a/apps/edge/placement_driver.cc
+++ b/apps/edge/placement_driver.cc
@@ -258,16 +258,16 @@
 }
 
 void PlacementDriver::ReadReports(TimePoint now, const ServiceId& service) {
-  for (const auto& [id, entry] : state_.directory.entries()) {
-    const serving::BackendServer& server = entry.server;
+  for (const serving::BackendServer* server : serving::PlacementServers(
+           state_.directory, service, state_.balancer.limits())) {
+    const ServerId& id = server->id;
     if (reports_in_flight_ >= kMaxConcurrentReports) {
       return;
     }
-    if (server.service == service && !server.draining && MayCall(now, id) &&
-        order_tracker_.NeedsReport(now, id)) {
+    if (MayCall(now, id) && order_tracker_.NeedsReport(now, id)) {
       order_tracker_.OnReportRequested(now, id);
       permits_.OnInternalCall(now, id);
-      ReadReport(server);
+      ReadReport(*server);
     }
   }
 }
@@ -308,14 +308,13 @@
 
 void PlacementDriver::Plan(TimePoint now, const serving::ServiceSpec& service) {
   std::map<ServerId, serving::EngineState> servers;
-  for (const auto& [id, entry] : state_.directory.entries()) {
-    if (entry.server.service != service.id || entry.server.draining) {
-      continue;
-    }
-    order_tracker_.Reconcile(now, id, entry.server.models,
+  for (const serving::BackendServer* server : serving::PlacementServers(
+           state_.directory, service.id, state_.balancer.limits())) {
+    const ServerId& id = server->id;
+    order_tracker_.Reconcile(now, id, server->models,
                              state_.settings.bounds.registry_lag);
     serving::EngineState engine =
-        order_tracker_.StateOf(now, id, entry.server.models);
+        order_tracker_.StateOf(now, id, server->models);
     engine.orderable =
         engine.orderable && !pending_unloads_.contains(id) && MayCall(now, id);
     if (const auto unload = pending_unloads_.find(id);
--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -22,6 +22,7 @@
  *   leadership.h          PlacementLease: which instance sends orders
  *   permits.h             PermitScheduler: requests to servers with a limit
  *   demand.h              DemandMeter, DemandForecast: demand now and later
+ *   placement_servers.h   PlacementServers: servers that placement counts on
  *   engine_state.h        EngineState: a server as placement plans see it
  *   replica_history.h     ReplicaHistory: how long models wait or are held
  *   replicas.h            PlanReplicas: which server should hold which model
@@ -42,6 +43,7 @@
 #include "figwell/serving/leadership.h"
 #include "figwell/serving/order_tracker.h"
 #include "figwell/serving/permits.h"
+#include "figwell/serving/placement_servers.h"
 #include "figwell/serving/prefill_wait.h"
 #include "figwell/serving/replica_history.h"
 #include "figwell/serving/replicas.h"
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -244,7 +244,8 @@
   /**
    * The candidate to which all instances of this domain prefer to send the
    * request's shared prefix, so that one server keeps it cached. Selected by
-   * rendezvous hashing; null if the request has no shared prefix.
+   * rendezvous hashing among those without a limit; null if there is none, or
+   * if the request has no shared prefix.
    */
   const BackendServer* PreferredServer(
       const std::vector<const BackendServer*>& candidates,
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 #include "balancer_times.h"
 #include "figwell/serving/permits.h"
@@ -238,12 +239,16 @@
   }
   const std::string key =
       std::to_string(needs.prefixes[needs.prefixes.size() - 2].key);
+  std::vector<const BackendServer*> eligible;
+  std::copy_if(candidates.begin(), candidates.end(),
+               std::back_inserter(eligible),
+               [&](const auto* server) { return !limits_.Find(server->id); });
   const bool has_local = std::any_of(
-      candidates.begin(), candidates.end(),
+      eligible.begin(), eligible.end(),
       [&](const auto* server) { return server->domain == own_domain_; });
   const BackendServer* preferred = nullptr;
   std::uint64_t max_weight = 0;
-  for (const BackendServer* server : candidates) {
+  for (const BackendServer* server : eligible) {
     if (has_local && server->domain != own_domain_) {
       continue;
     }
--- a/libs/serving/tests/balancer_test.cc
+++ b/libs/serving/tests/balancer_test.cc
@@ -336,5 +336,21 @@
   CHECK(fixture.balancer.limits().size() == 0);
 }
 
+TEST_CASE("a shared prefix is not kept on a server with a limit") {
+  Fixture fixture;
+  for (const char* id : {"a", "b", "c"}) {
+    fixture.directory.Put(MakeServer(id, kModels, "here"));
+  }
+  RequestNeeds needs = ModelNeeds(2'000);
+  needs.prefixes = PrefixesOf(kModel, {{1, 1'500}, {2, 500}});
+  const std::string preferred = fixture.Choose(0, needs);
+  fixture.balancer.limits().OnPeerStatement(At(0), ServerId(preferred), 1.0);
+  const auto choice = fixture.balancer.Choose(At(10), fixture.catalog,
+                                              fixture.directory, needs);
+  REQUIRE(choice);
+  CHECK(choice->server != ServerId(preferred));
+  CHECK(choice->cached_tokens == 1'500);
+}
+
 }  // namespace
 }  // namespace figwell::serving
