Notice that a server's limit has ended when others are preferred

One desk had stated a limit of 0.5 for a second; it got no request any more. All went to the other desk, which had a limit of 6, and waited up to their target for a permit.

Cause: a limited server cost one interval more than others (2 s here), whether or not a permit was free, so that no request went to it and no answer could tell that its limit had ended. A request waited for its permit however cheap another server was. An instance that missed an announcement, or had just started, knew no limit until an answer of its own.

Change: the cost is the wait until the next permit as last replied, 0 when it is free; a request waits no longer than a server without a limit would cost more. Limits that still hold are announced again every 3 s, and placement no longer avoids a server that nobody has heard stating its limit for 10 s.

--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -60,7 +60,10 @@
                        const std::optional<InstanceId>& from);
   /** A peer announced that a server's limit began, changed or ended. */
   void OnServerLimit(const InstanceId& from, const ServerLimitMessage& message);
-  /** A server's limit has changed, as stated here or to the peer `from`. */
+  /**
+   * A server has stated its limit or its end, here or to the peer `from`: logs
+   * a change, and announces or forwards the statement.
+   */
   void OnServerLimitChange(const ServerId& id, serving::LimitChange change,
                            const std::optional<InstanceId>& from);
   void OnInstanceEntries(const std::vector<serving::LoggedEntry>& entries);
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -206,22 +206,23 @@
   const auto change = state_.balancer.limits().OnPeerStatement(
       MonotonicNow(), id,
       message.limited ? std::optional(message.per_second) : std::nullopt);
-  if (change != serving::LimitChange::kNone) {
-    OnServerLimitChange(id, change, from);
-  }
+  OnServerLimitChange(id, change, from);
 }
 
 void Edge::OnServerLimitChange(const ServerId& id, serving::LimitChange change,
                                const std::optional<InstanceId>& from) {
   const auto limit = state_.balancer.limits().Find(id);
-  state_.metrics
-      .GetCounter("figwell_server_limit_changes_total",
-                  telemetry::Label("change", serving::Name(change)))
-      .Add();
-  telemetry::Log(Event::kServerLimitChanged, serving::Name(change),
-                 {{"server", id.value()},
-                  {"per_second", LimitText(limit)},
-                  {"from", from ? from->value() : ""}});
+  if (change != serving::LimitChange::kNone &&
+      change != serving::LimitChange::kConfirmed) {
+    state_.metrics
+        .GetCounter("figwell_server_limit_changes_total",
+                    telemetry::Label("change", serving::Name(change)))
+        .Add();
+    telemetry::Log(Event::kServerLimitChanged, serving::Name(change),
+                   {{"server", id.value()},
+                    {"per_second", LimitText(limit)},
+                    {"from", from ? from->value() : ""}});
+  }
   if (!limit) {
     permits_.RemoveServer(id);
   }
--- a/apps/edge/permit_client.cc
+++ b/apps/edge/permit_client.cc
@@ -54,7 +54,10 @@
     return;
   }
   if (ArbiterOf(server) == state_.settings.instance) {
-    on_done(Grant(MonotonicNow(), server, *limit, max_wait));
+    const TimePoint now = MonotonicNow();
+    const serving::Permit permit = Grant(now, server, *limit, max_wait);
+    state_.balancer.limits().OnPermit(now, server, permit);
+    on_done(permit);
     return;
   }
   const std::uint64_t number = ++last_number_;
@@ -92,6 +95,8 @@
   auto request = pending_.extract(number);
   if (!request.empty()) {
     request.mapped().timer.cancel();
+    state_.balancer.limits().OnPermit(MonotonicNow(), request.mapped().server,
+                                      permit);
     request.mapped().on_done(permit);
   }
 }
--- a/apps/edge/placement_driver.cc
+++ b/apps/edge/placement_driver.cc
@@ -259,7 +259,7 @@
 
 void PlacementDriver::ReadReports(TimePoint now, const ServiceId& service) {
   for (const serving::BackendServer* server : serving::PlacementServers(
-           state_.directory, service, state_.balancer.limits())) {
+           now, state_.directory, service, state_.balancer.limits())) {
     const ServerId& id = server->id;
     if (reports_in_flight_ >= kMaxConcurrentReports) {
       return;
@@ -309,7 +309,7 @@
 void PlacementDriver::Plan(TimePoint now, const serving::ServiceSpec& service) {
   std::map<ServerId, serving::EngineState> servers;
   for (const serving::BackendServer* server : serving::PlacementServers(
-           state_.directory, service.id, state_.balancer.limits())) {
+           now, state_.directory, service.id, state_.balancer.limits())) {
     const ServerId& id = server->id;
     order_tracker_.Reconcile(now, id, server->models,
                              state_.settings.bounds.registry_lag);
--- a/libs/serving/include/figwell/serving/admission.h
+++ b/libs/serving/include/figwell/serving/admission.h
@@ -53,8 +53,9 @@
                 Duration remaining);
 
 /**
- * How long a request can wait for a permit: until it would miss its target, or
- * its deadline if it has no target.
+ * How long a request should wait for a permit: until it would miss its target,
+ * or its deadline if it has no target, and no longer than the excess cost of a
+ * server that needs no permit.
  */
 Duration MaxPermitWait(const Route& route, const Choice& choice,
                        Duration elapsed, Duration remaining);
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -64,6 +64,11 @@
   Tokens cached_tokens = 0;
   /** Requests that were on the server already, as far as known. */
   int in_flight = 0;
+  /**
+   * How much more the cheapest server without a limit would cost; nullopt if
+   * all have one.
+   */
+  std::optional<Duration> unlimited_excess;
 
   friend bool operator==(const Choice&, const Choice&) = default;
 };
--- a/libs/serving/include/figwell/serving/server_limits.h
+++ b/libs/serving/include/figwell/serving/server_limits.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "figwell/core.h"
+#include "figwell/serving/permits.h"
 
 namespace figwell::serving {
 
@@ -16,7 +17,8 @@
 enum class LimitChange {
   kNone,
   kBegan,
-  kChanged,  ///< differs clearly from the rate at the last change
+  kChanged,    ///< differs clearly from the rate at the last change
+  kConfirmed,  ///< unchanged, and to be announced again
   kEnded,
 };
 
@@ -38,11 +40,20 @@
   /** A peer has learned that a limit began, changed or ended. */
   LimitChange OnPeerStatement(TimePoint now, const ServerId& server,
                               std::optional<double> per_second);
+  /** The server's arbiter has replied to a request for a permit. */
+  void OnPermit(TimePoint now, const ServerId& server, const Permit& permit);
   /** Drops the limit of a server that restarted or is gone. */
   void RemoveServer(const ServerId& server);
 
   /** Requests per second; nullopt if the server is not limited. */
   std::optional<double> Find(const ServerId& server) const;
+  /**
+   * Whether the limit was stated recently. One that was not may have ended: no
+   * request has been sent to the server since.
+   */
+  bool IsCurrent(TimePoint now, const ServerId& server) const;
+  /** Time until a permit may be free; 0 if unknown or without a limit. */
+  Duration PermitDelay(TimePoint now, const ServerId& server) const;
   std::size_t size() const { return limits_.size(); }
 
  private:
@@ -52,8 +63,12 @@
     double per_second_at_change = 0;
     /** When it was last stated, as far as this instance knows. */
     TimePoint stated_at;
+    /** When this instance or a peer last announced it. */
+    TimePoint announced_at;
+    TimePoint permit_free_at;
   };
 
+  /** Applies a statement. @return kNone, kBegan or kChanged */
   LimitChange Set(TimePoint now, const ServerId& server, double per_second);
 
   std::map<ServerId, Limit> limits_;
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -93,6 +93,7 @@
   if (route.latency_target.count() > 0) {
     wait = std::min(wait, route.latency_target - elapsed - choice.expected);
   }
+  wait = std::min(wait, choice.unlimited_excess.value_or(wait));
   return std::max(Duration{0}, wait);
 }
 
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -5,7 +5,6 @@
 #include <iterator>
 
 #include "balancer_times.h"
-#include "figwell/serving/permits.h"
 #include "figwell/serving/spreading.h"
 
 namespace figwell::serving {
@@ -224,11 +223,7 @@
   if (excess > 0) {
     cost += excess * kExcessFailureCostMs;
   }
-  if (const auto limit = limits_.Find(server.id)) {
-    // A request that has to wait for its permit waits for one interval or more.
-    cost += ToMs(RequestInterval(*limit));
-  }
-  return cost;
+  return cost + ToMs(limits_.PermitDelay(now, server.id));
 }
 
 const BackendServer* Balancer::PreferredServer(
@@ -330,8 +325,17 @@
         ToMs(choices.back().expected) +
         Penalty(now, servers_[server->id], *server, median_failure_ratio));
   }
-  return choices[DrawServer(costs, ToMs(needs.unreported_work),
-                            random_.Unit())];
+  const std::size_t drawn =
+      DrawServer(costs, ToMs(needs.unreported_work), random_.Unit());
+  Choice& choice = choices[drawn];
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (!limits_.Find(candidates[i]->id)) {
+      const Duration excess = FromMs(std::max(0.0, costs[i] - costs[drawn]));
+      choice.unlimited_excess =
+          std::min(choice.unlimited_excess.value_or(excess), excess);
+    }
+  }
+  return choice;
 }
 
 }  // namespace figwell::serving
--- a/libs/serving/src/placement_servers.cc
+++ b/libs/serving/src/placement_servers.cc
@@ -2,7 +2,8 @@
 
 namespace figwell::serving {
 
-std::vector<const BackendServer*> PlacementServers(const Directory& directory,
+std::vector<const BackendServer*> PlacementServers(TimePoint now,
+                                                   const Directory& directory,
                                                    const ServiceId& service,
                                                    const ServerLimits& limits) {
   std::vector<const BackendServer*> usable;
@@ -12,7 +13,7 @@
       continue;
     }
     usable.push_back(&entry.server);
-    if (!limits.Find(id)) {
+    if (!limits.IsCurrent(now, id)) {
       without_limit.push_back(&entry.server);
     }
   }
--- a/libs/serving/tests/admission_test.cc
+++ b/libs/serving/tests/admission_test.cc
@@ -92,6 +92,8 @@
   CHECK(wait(50, 5'000) == milliseconds(650));
   CHECK(wait(50, 300) == milliseconds(200));
   CHECK(wait(900, 5'000) == Duration{0});
+  choice.unlimited_excess = milliseconds(30);
+  CHECK(wait(50, 5'000) == milliseconds(30));
 }
 
 }  // namespace
--- a/libs/serving/tests/server_limits_test.cc
+++ b/libs/serving/tests/server_limits_test.cc
@@ -47,6 +47,30 @@
         LimitChange::kNone);
 }
 
+TEST_CASE("a limit that still holds is announced again every three seconds") {
+  ServerLimits limits;
+  limits.OnAnswer(At(0), At(0), kServer, 2.0);
+  CHECK(limits.OnAnswer(At(2'900), At(2'800), kServer, 2.0) ==
+        LimitChange::kNone);
+  CHECK(limits.OnAnswer(At(3'000), At(2'900), kServer, 2.0) ==
+        LimitChange::kConfirmed);
+  // A peer has announced it meanwhile.
+  limits.OnPeerStatement(At(5'000), kServer, 2.0);
+  CHECK(limits.OnAnswer(At(6'500), At(6'400), kServer, 2.0) ==
+        LimitChange::kNone);
+}
+
+TEST_CASE("a limit that was not stated for some time is no longer current") {
+  ServerLimits limits;
+  CHECK_FALSE(limits.IsCurrent(At(0), kServer));
+  limits.OnAnswer(At(0), At(0), kServer, 2.0);
+  CHECK(limits.IsCurrent(At(9'999), kServer));
+  CHECK_FALSE(limits.IsCurrent(At(10'000), kServer));
+  CHECK(limits.Find(kServer) == 2.0);
+  limits.OnAnswer(At(20'000), At(20'000), kServer, 0.1);
+  CHECK(limits.IsCurrent(At(49'999), kServer));
+}
+
 TEST_CASE("the limit of a server that restarted or is gone is dropped") {
   ServerLimits limits;
   limits.OnAnswer(At(0), At(0), kServer, 2.0);
