Load adapters of limited servers on other servers

Cause: a request for an adapter that only a limited server holds waited for its permit up to its target or was refused, though another server that holds the model could load the adapter within some 30 ms. A refusal for the limit came before the wait for an adapter.

Change: such a request takes a permit only if one is free, and otherwise waits for the adapter as one that no server holds.

--- a/apps/edge/placement_driver.h
+++ b/apps/edge/placement_driver.h
@@ -63,7 +63,7 @@
   void Execute(const serving::ReadKey& action);
   void UpdateLeadership(TimePoint now);
 
-  /** Whether the server accepts an internal call now: no pause, no limit. */
+  /** Whether neither a pause nor the limit forbids an internal call now. */
   bool MayCall(TimePoint now, const ServerId& server) const;
   void ReadReports(TimePoint now, const ServiceId& service);
   void ReadReport(const serving::BackendServer& server);
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -67,6 +67,8 @@
    * @return whether it was refused
    */
   bool RefuseIfAllLimited();
+  /** Whether a server holds the model of the adapter that the request needs. */
+  bool MayLoadAdapter(serving::LimitedServers limited_servers) const;
   void WaitForAdapter();
   /**
    * Refuses the request if it has not run and all of its servers are paused.
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -34,10 +34,13 @@
   const auto choice =
       state_.balancer.Choose(now, *catalog_, state_.directory, needs_);
   if (!choice) {
-    if (RefuseIfAllLimited() || RefuseIfAllPaused()) {
+    if (RefuseIfAllPaused()) {
       return;
     }
-    if (sends_ == 0 && !needs_.target.adapter.empty()) {
+    const bool at_limit = !needs_.at_limit.empty();
+    if (sends_ == 0 &&
+        MayLoadAdapter(at_limit ? serving::LimitedServers::kExclude
+                                : serving::LimitedServers::kInclude)) {
       WaitForAdapter();
     } else {
       RefuseWithoutServer();
@@ -62,9 +65,13 @@
     Send(choice);
     return;
   }
+  // Loading an adapter on another server takes less time than most permits.
+  const Duration max_wait =
+      MayLoadAdapter(serving::LimitedServers::kExclude)
+          ? Duration{0}
+          : serving::MaxPermitWait(*route_, choice, Elapsed(), Remaining());
   permits_.Acquire(
-      choice.server,
-      serving::MaxPermitWait(*route_, choice, Elapsed(), Remaining()),
+      choice.server, max_wait,
       [self = shared_from_this(), choice](const serving::Permit& permit) {
         if (!self->done_) {
           self->OnPermit(choice, permit);
@@ -118,10 +125,6 @@
 
 void CallerRequest::WaitForAdapter() {
   const TimePoint now = MonotonicNow();
-  if (!AnyServerHoldsModel()) {
-    RefuseWithoutServer();
-    return;
-  }
   if (!waiting_for_adapter_) {
     waiting_for_adapter_ = true;
     adapter_wait_end_ = now + kMaxAdapterWait;
@@ -165,7 +168,18 @@
                                         {needs_.target.model, {}});
 }
 
+bool CallerRequest::MayLoadAdapter(
+    serving::LimitedServers limited_servers) const {
+  return !needs_.target.adapter.empty() &&
+         state_.balancer.AnyServerHolds(
+             MonotonicNow(), state_.directory, needs_.service,
+             {needs_.target.model, {}}, limited_servers);
+}
+
 void CallerRequest::RefuseWithoutServer() {
+  if (RefuseIfAllLimited()) {
+    return;
+  }
   if (may_have_run_) {
     FailRequest(adapter::FailureReason::kBroken,
                 "no other server can take the request");
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -97,6 +97,9 @@
   friend bool operator==(const ReportedLoad&, const ReportedLoad&) = default;
 };
 
+/** Whether servers that limit the rate of requests count. */
+enum class LimitedServers { kInclude, kExclude };
+
 /** Requests that another instance has in flight at a server. */
 struct PeerLoad {
   int in_flight = 0;
@@ -177,9 +180,10 @@
   /** This instance's requests in flight by server, to report to its peers. */
   std::map<ServerId, PeerLoad> OwnLoads() const;
   /** Whether a usable server holds the target. */
-  bool AnyServerHolds(TimePoint now, const Directory& directory,
-                      const ServiceId& service,
-                      const ModelTarget& target) const;
+  bool AnyServerHolds(
+      TimePoint now, const Directory& directory, const ServiceId& service,
+      const ModelTarget& target,
+      LimitedServers limited_servers = LimitedServers::kInclude) const;
   /** Prefill time of the model per prompt token, in milliseconds. */
   double MillisecondsPerToken(const ModelId& model) const;
 
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -94,10 +94,13 @@
 
 bool Balancer::AnyServerHolds(TimePoint now, const Directory& directory,
                               const ServiceId& service,
-                              const ModelTarget& target) const {
+                              const ModelTarget& target,
+                              LimitedServers limited_servers) const {
   return std::any_of(directory.entries().begin(), directory.entries().end(),
                      [&](const auto& item) {
-                       return CanServe(now, item.second.server, service,
+                       return (limited_servers == LimitedServers::kInclude ||
+                               !limits_.Find(item.first)) &&
+                              CanServe(now, item.second.server, service,
                                        target);
                      });
 }
