--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -176,9 +176,9 @@
                                     std::int64_t started_ms) {
     OnServerLeaving(id, started_ms, std::nullopt);
   };
-  state_.on_server_limit_change = [this](const ServerId& id,
-                                         serving::LimitChange change) {
-    OnServerLimitChange(id, change, std::nullopt);
+  state_.on_limit_stated = [this](const ServerId& id,
+                                  serving::LimitChange change) {
+    OnLimitStated(id, change, std::nullopt);
   };
 }
 
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -59,13 +59,14 @@
   void OnServerLeaving(const ServerId& id, std::int64_t started_ms,
                        const std::optional<InstanceId>& from);
   /** A peer announced that a server's limit began, changed or ended. */
-  void OnServerLimit(const InstanceId& from, const ServerLimitMessage& message);
+  void OnServerLimitMessage(const InstanceId& from,
+                            const ServerLimitMessage& message);
   /**
    * A server has stated its limit or its end, here or to the peer `from`: logs
    * a change, and announces or forwards the statement.
    */
-  void OnServerLimitChange(const ServerId& id, serving::LimitChange change,
-                           const std::optional<InstanceId>& from);
+  void OnLimitStated(const ServerId& id, serving::LimitChange change,
+                     const std::optional<InstanceId>& from);
   void OnInstanceEntries(const std::vector<serving::LoggedEntry>& entries);
   void ApplyInstanceEntry(const serving::LoggedEntry& entry);
 
@@ -82,8 +83,8 @@
    * @param from the peer that sent it; nullopt if the server stated it here
    */
   template <typename Message>
-  void Announce(MessageKind kind, const Message& message,
-                const std::optional<InstanceId>& from);
+  void AnnounceToFleet(MessageKind kind, const Message& message,
+                       const std::optional<InstanceId>& from);
   /** The loads in one part of a status message, of known servers only. */
   std::map<ServerId, serving::PeerLoad> DecodeLoads(
       const StatusMessage& status) const;
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -77,7 +77,7 @@
       return;
     case MessageKind::kServerLimit:
       if (const auto limit = peers::Unpack<ServerLimitMessage>(bytes)) {
-        OnServerLimit(from, *limit);
+        OnServerLimitMessage(from, *limit);
       }
       return;
     case MessageKind::kPermitRequest:
@@ -115,8 +115,8 @@
 }
 
 template <typename Message>
-void Edge::Announce(MessageKind kind, const Message& message,
-                    const std::optional<InstanceId>& from) {
+void Edge::AnnounceToFleet(MessageKind kind, const Message& message,
+                           const std::optional<InstanceId>& from) {
   const DomainId& own = state_.settings.failure_domain;
   const auto& reachable = peers_.Reachable();
   const bool from_own_domain =
@@ -135,10 +135,10 @@
   }
 }
 
-template void Edge::Announce(MessageKind, const ServerLeavingMessage&,
-                             const std::optional<InstanceId>&);
-template void Edge::Announce(MessageKind, const ServerLimitMessage&,
-                             const std::optional<InstanceId>&);
+template void Edge::AnnounceToFleet(MessageKind, const ServerLeavingMessage&,
+                                    const std::optional<InstanceId>&);
+template void Edge::AnnounceToFleet(MessageKind, const ServerLimitMessage&,
+                                    const std::optional<InstanceId>&);
 
 std::map<ServerId, serving::PeerLoad> Edge::DecodeLoads(
     const StatusMessage& status) const {
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -192,12 +192,12 @@
                   {"from", from ? from->value() : ""},
                   {"started_ms", std::to_string(started_ms)}});
   OnServerChange(id, change);
-  Announce(MessageKind::kServerLeaving,
-           ServerLeavingMessage{id.value(), started_ms}, from);
+  AnnounceToFleet(MessageKind::kServerLeaving,
+                  ServerLeavingMessage{id.value(), started_ms}, from);
 }
 
-void Edge::OnServerLimit(const InstanceId& from,
-                         const ServerLimitMessage& message) {
+void Edge::OnServerLimitMessage(const InstanceId& from,
+                                const ServerLimitMessage& message) {
   const ServerId id(message.server);
   const serving::BackendServer* server = state_.directory.Find(id);
   if (server == nullptr || server->started_ms != message.started_ms) {
@@ -206,11 +206,11 @@
   const auto change = state_.balancer.limits().OnPeerStatement(
       MonotonicNow(), id,
       message.limited ? std::optional(message.per_second) : std::nullopt);
-  OnServerLimitChange(id, change, from);
+  OnLimitStated(id, change, from);
 }
 
-void Edge::OnServerLimitChange(const ServerId& id, serving::LimitChange change,
-                               const std::optional<InstanceId>& from) {
+void Edge::OnLimitStated(const ServerId& id, serving::LimitChange change,
+                         const std::optional<InstanceId>& from) {
   const auto limit = state_.balancer.limits().Find(id);
   if (change != serving::LimitChange::kNone &&
       change != serving::LimitChange::kConfirmed) {
@@ -227,7 +227,7 @@
     permits_.RemoveServer(id);
   }
   const serving::BackendServer* server = state_.directory.Find(id);
-  Announce(
+  AnnounceToFleet(
       MessageKind::kServerLimit,
       ServerLimitMessage{id.value(), server == nullptr ? 0 : server->started_ms,
                          limit.has_value(), limit.value_or(0)},
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -200,8 +200,8 @@
 };
 
 /**
- * A server's limit began, changed or ended. Sent and forwarded like
- * ServerLeavingMessage.
+ * A server's limit began, changed, still holds or ended. Sent and forwarded
+ * like ServerLeavingMessage.
  */
 struct ServerLimitMessage {
   std::string server;
@@ -220,7 +220,7 @@
 
 /** Asks a server's arbiter for a permit for one request. */
 struct PermitRequestMessage {
-  /** Number of a request that the sender does not wait to be permitted. */
+  /** Marks a request that is sent anyway: the arbiter counts it. */
   static constexpr std::uint64_t kNoReply = 0;
 
   std::uint64_t number = kNoReply;
--- a/apps/edge/server_state.cc
+++ b/apps/edge/server_state.cc
@@ -20,7 +20,7 @@
   const serving::LimitChange change = state.balancer.limits().OnAnswer(
       MonotonicNow(), call.sent, call.server, per_second);
   if (change != serving::LimitChange::kNone) {
-    state.on_server_limit_change(call.server, change);
+    state.on_limit_stated(call.server, change);
   }
 }
 
--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -50,9 +50,8 @@
    */
   std::function<void(const ServerId&, std::int64_t started_ms)>
       on_server_leaving;
-  /** A server's limit has changed, as it stated in an answer. */
-  std::function<void(const ServerId&, serving::LimitChange)>
-      on_server_limit_change;
+  /** An answer has changed or confirmed what is known of a server's limit. */
+  std::function<void(const ServerId&, serving::LimitChange)> on_limit_stated;
   /** Reports this instance's charges to the peers before the next interval. */
   std::function<void()> send_interim_status;
 };
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -29,7 +29,7 @@
   std::vector<PromptPrefix> prefixes;
   /** Servers that the request was sent to before. */
   std::set<ServerId> tried;
-  /** Servers that have no permit for the request. */
+  /** Servers whose arbiters denied the request a permit. */
   std::set<ServerId> at_limit;
   /**
    * Work for the model that other instances have sent but not yet reported; see
--- a/libs/serving/include/figwell/serving/permits.h
+++ b/libs/serving/include/figwell/serving/permits.h
@@ -9,8 +9,7 @@
 
 namespace figwell::serving {
 
-/** The reply to an instance that wants to send a request to a limited server.
- */
+/** The reply to an instance that asks to send to a limited server. */
 struct Permit {
   bool granted = false;
   /**
@@ -43,7 +42,7 @@
                  Duration max_wait);
   /** Counts a request that its sender sends without asking. */
   void Charge(TimePoint now, const ServerId& server, double per_second);
-  /** Forgets a server that has no limit any more. */
+  /** Drops the schedule of a server that has no limit any more. */
   void RemoveServer(const ServerId& server) { next_.erase(server); }
 
  private:
--- a/libs/serving/include/figwell/serving/server_limits.h
+++ b/libs/serving/include/figwell/serving/server_limits.h
@@ -37,7 +37,7 @@
    */
   LimitChange OnAnswer(TimePoint now, TimePoint sent, const ServerId& server,
                        std::optional<double> per_second);
-  /** A peer has learned that a limit began, changed or ended. */
+  /** A peer has announced a limit, or its end. */
   LimitChange OnPeerStatement(TimePoint now, const ServerId& server,
                               std::optional<double> per_second);
   /** The server's arbiter has replied to a request for a permit. */
