--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -140,6 +140,11 @@
     const ServerId id = adapter::ServerIdFromKey(entry.key);
     if (entry.removed) {
       OnServerChange(id, state_.directory.Remove(now, id));
+      if (state_.directory.Find(id) != nullptr) {
+        telemetry::Log(Event::kServerChanged, "lapsed",
+                       {{"server", id.value()},
+                        {"revision", std::to_string(entry.revision)}});
+      }
     } else if (const auto server = UnpackServer(entry.value)) {
       state_.balancer.OnRegistryUpdate(now, id);
       OnServerChange(id, state_.directory.Put(*server));
--- a/apps/edge/shared_view.cc
+++ b/apps/edge/shared_view.cc
@@ -4,6 +4,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using telemetry::Event;
 
 // Leaves room for the frame within peers::kMaxApplicationBytes.
 constexpr std::size_t kMaxChangeSetBytes = 850;
@@ -106,6 +107,14 @@
 
 void SharedView::OnChanges(const serving::ChangeSet& set) {
   const auto changes = log_.ApplyPart(set);
+  if (!changes.empty() && IsActiveFollower()) {
+    telemetry::Log(Event::kWatchSilent,
+                   "a peer had changes that the own watch did not deliver",
+                   {{"prefix", follower_.prefix()},
+                    {"age_ms", std::to_string(follower_.WatchAge() /
+                                              milliseconds(1))},
+                    {"revision", std::to_string(log_.newest())}});
+  }
   if (log_.has_partial_answer()) {
     last_request_ = MonotonicNow();  // the other parts are still in flight
   }
--- a/apps/edge/store_follower.cc
+++ b/apps/edge/store_follower.cc
@@ -98,6 +98,10 @@
   Watch();
 }
 
+Duration StoreFollower::WatchAge() const {
+  return watch_started_ ? MonotonicNow() - *watch_started_ : Duration{0};
+}
+
 void StoreFollower::Watch() {
   watch_started_ = MonotonicNow();
   store_.Watch(
--- a/apps/edge/store_follower.h
+++ b/apps/edge/store_follower.h
@@ -51,7 +51,10 @@
   /** Resumes after a stop; changes up to `known` came from elsewhere. */
   void Resume(store::Revision known);
 
+  const std::string& prefix() const { return prefix_; }
   bool following() const { return following_; }
+  /** Time since the watch in flight began; 0 if there is none. */
+  Duration WatchAge() const;
   /** Whether the last call was answered. */
   bool answering() const { return listed_ && failures_ == 0; }
   bool listed() const { return listed_; }
--- a/libs/telemetry/include/figwell/telemetry.h
+++ b/libs/telemetry/include/figwell/telemetry.h
@@ -41,6 +41,7 @@
   kDependencyLost = 1101,
   kDependencyRegained = 1102,
   kFollowingChanged = 1103,
+  kWatchSilent = 1104,
   kConfigRejected = 1203,
   kConfigInForce = 1204,
   kPatchAccepted = 1205,
