--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -58,6 +58,20 @@
   return limits;
 }
 
+// Close to the longest wait that the store accepts. A watch that waits longer
+// than the store keeps its history may find its start revision compacted.
+milliseconds MaxWatchWait(const config::EdgeSettings& settings) {
+  constexpr milliseconds kMaxWait{25'000};
+  constexpr int kTenthsOfHistory = 8;
+  return std::min(kMaxWait, settings.store_history * kTenthsOfHistory / 10);
+}
+
+// A store that fails may drop all waiting watches without an answer. The watch
+// of the servers is soon found unanswered, which restarts the others too.
+milliseconds ServersWatchWait(const config::EdgeSettings& settings) {
+  return std::min(settings.bounds.drain_notice, MaxWatchWait(settings));
+}
+
 // Limits on callers. The configuration states what callers may send; sizes and
 // times are enforced at twice that, so that only clear violations are refused.
 http::ServerLimits LimitsFor(const serving::CallerLimits& configured) {
@@ -126,7 +140,7 @@
                  incarnation_),
       configuration_follower_(
           context_, store_, std::string(adapter::kConfigurationPrefix),
-          state_.settings.store_history,
+          MaxWatchWait(state_.settings),
           {[this](const adapter::Listing& listing) {
              for (const store::KeyValue& item : listing.items) {
                OnConfigurationItem(item);
@@ -140,9 +154,9 @@
            [this] { peers_.OnStoreResult(false); },
            [this](Duration) { peers_.OnStoreResult(true); }}),
       servers_view_(context_, store_, std::string(adapter::kServersPrefix),
-                    state_.settings.store_history, ServersCallbacks()),
+                    ServersWatchWait(state_.settings), ServersCallbacks()),
       instances_view_(context_, store_, state_.settings.store_prefix,
-                      state_.settings.store_history, InstancesCallbacks()),
+                      MaxWatchWait(state_.settings), InstancesCallbacks()),
       callers_(context_, LimitsFor({}),
                {[this](http::ExchangePtr exchange) {
                   OnCallerRequest(std::move(exchange));
--- a/apps/edge/shared_view.cc
+++ b/apps/edge/shared_view.cc
@@ -27,10 +27,11 @@
 
 SharedView::SharedView(boost::asio::io_context& context,
                        adapter::StoreClient& store, std::string prefix,
-                       milliseconds history, SharedViewCallbacks callbacks)
+                       milliseconds max_watch_wait,
+                       SharedViewCallbacks callbacks)
     : callbacks_(std::move(callbacks)),
       follower_(
-          context, store, std::move(prefix), history,
+          context, store, std::move(prefix), max_watch_wait,
           {[this](const adapter::Listing& listing) { OnListing(listing); },
            [this](const store::WatchEvent& event) { OnEvent(event); },
            [this] { callbacks_.on_store_unreachable(); },
@@ -108,12 +109,13 @@
 void SharedView::OnChanges(const serving::ChangeSet& set) {
   const auto changes = log_.ApplyPart(set);
   if (!changes.empty() && IsActiveFollower()) {
-    telemetry::Log(Event::kWatchSilent,
-                   "a peer had changes that the own watch did not deliver",
-                   {{"prefix", follower_.prefix()},
-                    {"age_ms", std::to_string(follower_.WatchAge() /
-                                              milliseconds(1))},
-                    {"revision", std::to_string(log_.newest())}});
+    telemetry::Log(
+        Event::kWatchSilent,
+        "a peer had changes that the own watch did not deliver",
+        {{"prefix", follower_.prefix()},
+         {"age_ms", std::to_string(follower_.WatchAge() / milliseconds(1))},
+         {"revision", std::to_string(log_.newest())}});
+    follower_.RestartWatch();
   }
   if (log_.has_partial_answer()) {
     last_request_ = MonotonicNow();  // the other parts are still in flight
--- a/apps/edge/shared_view.h
+++ b/apps/edge/shared_view.h
@@ -33,7 +33,7 @@
 class SharedView {
  public:
   SharedView(boost::asio::io_context& context, adapter::StoreClient& store,
-             std::string prefix, std::chrono::milliseconds history,
+             std::string prefix, std::chrono::milliseconds max_watch_wait,
              SharedViewCallbacks callbacks);
 
   void Start() { follower_.Start(); }
--- a/apps/edge/store_follower.cc
+++ b/apps/edge/store_follower.cc
@@ -8,13 +8,6 @@
 using std::chrono::milliseconds;
 using telemetry::Event;
 
-// Upper bound of one watch, close to the longest wait that the store accepts. A
-// connection that broke silently is detected sooner: peers report newer
-// revisions.
-constexpr milliseconds kMaxWatchWait{25'000};
-// A watch that waits longer than the store keeps its history may find its start
-// revision compacted.
-constexpr int kWatchWaitTenthsOfHistory = 8;
 constexpr Duration kInitialBackoff = milliseconds(100);
 constexpr Duration kMaxBackoff = milliseconds(1'000);
 constexpr int kMaxBackoffDoublings = 4;
@@ -23,12 +16,12 @@
 
 StoreFollower::StoreFollower(boost::asio::io_context& context,
                              adapter::StoreClient& store, std::string prefix,
-                             milliseconds history, FollowerCallbacks callbacks)
+                             milliseconds max_watch_wait,
+                             FollowerCallbacks callbacks)
     : timer_(context),
       store_(store),
       prefix_(std::move(prefix)),
-      max_watch_wait_(
-          std::min(kMaxWatchWait, history * kWatchWaitTenthsOfHistory / 10)),
+      max_watch_wait_(max_watch_wait),
       callbacks_(std::move(callbacks)),
       random_(StableHash(RandomHex(8))) {
   store_.OnRecovery(
@@ -94,14 +87,20 @@
       {{"dependency", "store"},
        {"prefix", prefix_},
        {"after", std::to_string(known_revision_)}});
-  ++generation_;
-  Watch();
+  RestartWatch();
 }
 
 Duration StoreFollower::WatchAge() const {
   return watch_started_ ? MonotonicNow() - *watch_started_ : Duration{0};
 }
 
+void StoreFollower::RestartWatch() {
+  if (watch_started_) {
+    ++generation_;
+    Watch();
+  }
+}
+
 void StoreFollower::Watch() {
   watch_started_ = MonotonicNow();
   store_.Watch(
--- a/apps/edge/store_follower.h
+++ b/apps/edge/store_follower.h
@@ -31,8 +31,12 @@
   static constexpr Duration kUnreachableTimeout =
       std::chrono::milliseconds(1'000);
 
+  /**
+   * @param max_watch_wait how long a watch waits at the store; a dropped watch
+   * is noticed once it is overdue
+   */
   StoreFollower(boost::asio::io_context& context, adapter::StoreClient& store,
-                std::string prefix, std::chrono::milliseconds history,
+                std::string prefix, std::chrono::milliseconds max_watch_wait,
                 FollowerCallbacks callbacks);
 
   void Start();
@@ -46,6 +50,8 @@
   std::chrono::milliseconds watch_pause() const { return watch_pause_; }
   /** Lists all items again now; the result of a call in flight is ignored. */
   void Refresh();
+  /** Replaces the watch in flight, if there is one. */
+  void RestartWatch();
   /** Stops following; the result of a call in flight is ignored. */
   void Stop();
   /** Resumes after a stop; changes up to `known` came from elsewhere. */
