--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -118,6 +118,14 @@
   return head_.parts.empty() ? "" : fmt::format("{:x}", head_.parts.back().id);
 }
 
+std::string CallerRequest::SharedPartsText() const {
+  std::string text;
+  for (std::size_t i = 0; i + 1 < head_.parts.size(); ++i) {
+    text += fmt::format("{}{:x}", i == 0 ? "" : ",", head_.parts[i].id);
+  }
+  return text;
+}
+
 void CallerRequest::RefundTeam() {
   if (charged_tokens_ > 0) {
     state_.rate_limiter.Refund(MonotonicNow(), team_, charged_tokens_);
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -51,6 +51,8 @@
    * caller sends the request again under a new request id.
    */
   std::string PromptIdText() const;
+  /** Ids of the prompt's other parts, which requests share, for the log. */
+  std::string SharedPartsText() const;
   Duration Elapsed() const { return MonotonicNow() - arrived_; }
   Duration Remaining() const { return deadline_ - MonotonicNow(); }
 
@@ -191,6 +193,8 @@
   bool first_byte_sent_ = false;
   Duration first_byte_delay_{0};
   std::optional<std::uint64_t> last_event_number_;
+  /** Complete events of the current attempt, and events relayed by all. */
+  std::uint64_t attempt_events_ = 0;
   std::uint64_t relayed_events_ = 0;
   http::EventStreamReader event_reader_;
 };
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -248,6 +248,7 @@
   ReleaseBuffer(reserved_bytes_);
   discarded_bytes_ = 0;
   event_reader_ = {};
+  attempt_events_ = 0;
   streaming_ = false;
   sent_at_ = now;
   last_progress_at_ = now;
@@ -326,6 +327,8 @@
                   {"progress", std::string(serving::Name(progress))},
                   {"status", std::to_string(status_)},
                   {"sent_to", std::to_string(sent_to)},
+                  {"events", std::to_string(attempt_events_)},
+                  {"parts", SharedPartsText()},
                   {"next", retry       ? "other_server"
                            : may_retry ? "no_retry_budget"
                                        : "none"}});
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -142,6 +142,7 @@
   }
   if (!events->empty()) {
     RecordEventTimes();
+    attempt_events_ += events->size();
   }
   std::string relayed;
   for (const http::StreamEvent& event : *events) {
