--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -77,14 +77,6 @@
   void OnDomainStatus(const InstanceId& from,
                       const DomainStatusMessage& message);
   void OnPlacements(const InstanceId& from, const PlacementMessage& message);
-  /**
-   * Sends what a server has stated to the own domain and to the other domains'
-   * delegates, or forwards it there.
-   * @param from the peer that sent it; nullopt if the server stated it here
-   */
-  template <typename Message>
-  void AnnounceToFleet(MessageKind kind, const Message& message,
-                       const std::optional<InstanceId>& from);
   /** The loads in one part of a status message, of known servers only. */
   std::map<ServerId, serving::PeerLoad> DecodeLoads(
       const StatusMessage& status) const;
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -114,32 +114,6 @@
                  {{"from", from.value()}, {"items", text}});
 }
 
-template <typename Message>
-void Edge::AnnounceToFleet(MessageKind kind, const Message& message,
-                           const std::optional<InstanceId>& from) {
-  const DomainId& own = state_.settings.failure_domain;
-  const auto& reachable = peers_.Reachable();
-  const bool from_own_domain =
-      from && reachable.contains(*from) && reachable.at(*from) == own;
-  if (from_own_domain) {
-    return;  // it has announced this to the whole domain
-  }
-  peers_.SendToOwnDomain(kind, message);
-  if (from) {
-    return;
-  }
-  for (const auto& [domain, delegate] : peers_.Delegates()) {
-    if (domain != own) {
-      peers_.Send(delegate, kind, message);
-    }
-  }
-}
-
-template void Edge::AnnounceToFleet(MessageKind, const ServerLeavingMessage&,
-                                    const std::optional<InstanceId>&);
-template void Edge::AnnounceToFleet(MessageKind, const ServerLimitMessage&,
-                                    const std::optional<InstanceId>&);
-
 std::map<ServerId, serving::PeerLoad> Edge::DecodeLoads(
     const StatusMessage& status) const {
   std::map<ServerId, serving::PeerLoad> loads;
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -197,7 +197,7 @@
                   {"from", from ? from->value() : ""},
                   {"started_ms", std::to_string(started_ms)}});
   OnServerChange(id, change);
-  AnnounceToFleet(MessageKind::kServerLeaving,
+  peers_.Announce(MessageKind::kServerLeaving,
                   ServerLeavingMessage{id.value(), started_ms}, from);
 }
 
@@ -232,7 +232,7 @@
     permits_.RemoveServer(id);
   }
   const serving::BackendServer* server = state_.directory.Find(id);
-  AnnounceToFleet(
+  peers_.Announce(
       MessageKind::kServerLimit,
       ServerLimitMessage{id.value(), server == nullptr ? 0 : server->started_ms,
                          limit.has_value(), limit.value_or(0)},
--- a/apps/edge/peer_group.h
+++ b/apps/edge/peer_group.h
@@ -74,6 +74,30 @@
     }
   }
 
+  /**
+   * Sends a message to the own domain and to the other domains' delegates, or
+   * forwards it there.
+   * @param from the peer that sent it; nullopt if it is this instance's own
+   */
+  template <typename Message>
+  void Announce(MessageKind kind, const Message& message,
+                const std::optional<InstanceId>& from) {
+    const auto sender = from ? Reachable().find(*from) : Reachable().end();
+    if (sender != Reachable().end() &&
+        sender->second == settings_.failure_domain) {
+      return;  // it has announced this to the whole domain
+    }
+    SendToOwnDomain(kind, message);
+    if (from) {
+      return;
+    }
+    for (const auto& [domain, delegate] : Delegates()) {
+      if (domain != settings_.failure_domain) {
+        Send(delegate, kind, message);
+      }
+    }
+  }
+
   /** Peers that have neither left nor been declared dead; their domains. */
   const std::map<InstanceId, DomainId>& Reachable() const;
   /** Other members that are alive and not suspect, with their domains. */
--- a/apps/edge/permit_client.cc
+++ b/apps/edge/permit_client.cc
@@ -124,6 +124,9 @@
 }
 
 bool PermitClient::MayCall(TimePoint now, const ServerId& server) const {
+  if (state_.balancer.IsPaused(now, server)) {
+    return false;
+  }
   const auto limit = state_.balancer.limits().Find(server);
   const auto last = last_internal_call_.find(server);
   return !limit || last == last_internal_call_.end() ||
--- a/apps/edge/placement_driver.cc
+++ b/apps/edge/placement_driver.cc
@@ -252,11 +252,6 @@
   }
 }
 
-bool PlacementDriver::MayCall(TimePoint now, const ServerId& server) const {
-  return !state_.balancer.IsPaused(now, server) &&
-         permits_.MayCall(now, server);
-}
-
 void PlacementDriver::ReadReports(TimePoint now, const ServiceId& service) {
   for (const serving::BackendServer* server : serving::PlacementServers(
            now, state_.directory, service, state_.balancer.limits())) {
@@ -264,7 +259,7 @@
     if (reports_in_flight_ >= kMaxConcurrentReports) {
       return;
     }
-    if (MayCall(now, id) && order_tracker_.NeedsReport(now, id)) {
+    if (permits_.MayCall(now, id) && order_tracker_.NeedsReport(now, id)) {
       order_tracker_.OnReportRequested(now, id);
       permits_.OnInternalCall(now, id);
       ReadReport(*server);
@@ -315,8 +310,8 @@
                              state_.settings.bounds.registry_lag);
     serving::EngineState engine =
         order_tracker_.StateOf(now, id, server->models);
-    engine.orderable =
-        engine.orderable && !pending_unloads_.contains(id) && MayCall(now, id);
+    engine.orderable = engine.orderable && !pending_unloads_.contains(id) &&
+                       permits_.MayCall(now, id);
     if (const auto unload = pending_unloads_.find(id);
         unload != pending_unloads_.end()) {
       const serving::ModelTarget& target = unload->second.move.target;
--- a/apps/edge/placement_driver.h
+++ b/apps/edge/placement_driver.h
@@ -63,8 +63,6 @@
   void Execute(const serving::ReadKey& action);
   void UpdateLeadership(TimePoint now);
 
-  /** Whether neither a pause nor the limit forbids an internal call now. */
-  bool MayCall(TimePoint now, const ServerId& server) const;
   void ReadReports(TimePoint now, const ServiceId& service);
   void ReadReport(const serving::BackendServer& server);
   void Plan(TimePoint now, const serving::ServiceSpec& service);
--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -69,7 +69,7 @@
   const serving::BackendServer* server = state_.directory.Find(move.server);
   if (server == nullptr ||
       order_tracker_.FindOrderable(now, move.server) == nullptr ||
-      !MayCall(now, move.server) || !lease_.Leads(now)) {
+      !permits_.MayCall(now, move.server) || !lease_.Leads(now)) {
     return false;
   }
   permits_.OnInternalCall(now, move.server);
