--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -135,6 +135,7 @@
               },
               [] {}}),
       permits_(state_, peers_),
+      quarantine_(state_, store_, server_http_, peers_, permits_),
       registrar_(state_, store_),
       placement_(state_, store_, server_http_, peers_, permits_, registrar_,
                  incarnation_),
@@ -261,7 +262,7 @@
 
 void Edge::OnCallerRequest(http::ExchangePtr exchange) {
   std::make_shared<CallerRequest>(state_, server_http_, placement_, permits_,
-                                  std::move(exchange))
+                                  quarantine_, std::move(exchange))
       ->Start();
 }
 
@@ -290,6 +291,8 @@
       .Set(static_cast<std::int64_t>(state_.directory.entries().size()));
   state_.metrics.GetGauge("figwell_servers_limited")
       .Set(static_cast<std::int64_t>(state_.balancer.limits().size()));
+  state_.metrics.GetGauge("figwell_prompts_quarantined")
+      .Set(static_cast<std::int64_t>(state_.quarantine.size()));
   state_.metrics.GetGauge("figwell_peers_heard")
       .Set(static_cast<std::int64_t>(peers_.Reachable().size()));
   http::Response response;
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -9,6 +9,7 @@
 #include "peer_group.h"
 #include "permit_client.h"
 #include "placement_driver.h"
+#include "quarantine_driver.h"
 #include "registrar.h"
 #include "request.h"
 #include "shared_view.h"
@@ -120,6 +121,7 @@
   adapter::StoreClient store_;
   PeerGroup peers_;
   PermitClient permits_;
+  QuarantineDriver quarantine_;
   Registrar registrar_;
   PlacementDriver placement_;
   StoreFollower configuration_follower_;
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -90,6 +90,16 @@
         permits_.OnReply(*reply);
       }
       return;
+    case MessageKind::kServerCrash:
+      if (const auto crash = peers::Unpack<ServerCrashMessage>(bytes)) {
+        quarantine_.OnCrashMessage(from, *crash);
+      }
+      return;
+    case MessageKind::kQuarantine:
+      if (const auto quarantine = peers::Unpack<QuarantineMessage>(bytes)) {
+        quarantine_.OnQuarantineMessage(from, *quarantine);
+      }
+      return;
     case MessageKind::kAdapterRequest:
       if (const auto request = peers::Unpack<AdapterRequestMessage>(bytes)) {
         placement_.OnAdapterRequest(*request);
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -267,6 +267,10 @@
 }
 
 void Edge::ApplyInstanceEntry(const serving::LoggedEntry& entry) {
+  if (entry.key.starts_with(quarantine_.EntriesPrefix())) {
+    quarantine_.OnStoreEntry(entry);
+    return;
+  }
   const std::string prefix = registrar_.InstancesPrefix();
   if (!entry.key.starts_with(prefix)) {
     return;
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -24,6 +24,8 @@
   kServerLimit = 9,
   kPermitRequest = 10,
   kPermitReply = 11,
+  kServerCrash = 12,
+  kQuarantine = 13,
 };
 
 /** Work that the sender has in flight at one server. */
@@ -254,6 +256,41 @@
   }
 };
 
+/**
+ * A server process ended while a request with these prompt parts was waiting
+ * for its answer. Sent and forwarded like ServerLeavingMessage.
+ */
+struct ServerCrashMessage {
+  std::string server;
+  std::int64_t started_ms = 0;
+  std::vector<std::uint64_t> parts;
+
+  friend bool operator==(const ServerCrashMessage&,
+                         const ServerCrashMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(server, started_ms, parts);
+  }
+};
+
+/**
+ * Prompt parts are in quarantine (`active`) or no longer are. Sent and
+ * forwarded like ServerLeavingMessage.
+ */
+struct QuarantineMessage {
+  std::vector<std::uint64_t> parts;
+  bool active = false;
+
+  friend bool operator==(const QuarantineMessage&,
+                         const QuarantineMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(parts, active);
+  }
+};
+
 /** A request is waiting for an adapter that no server holds. */
 struct AdapterRequestMessage {
   std::string model;
--- /dev/null
+++ b/apps/edge/quarantine_driver.cc
@@ -0,0 +1,262 @@
+#include "quarantine_driver.h"
+
+#include "log_text.h"
+
+namespace figwell::edge {
+namespace {
+
+using std::chrono::milliseconds;
+using telemetry::Event;
+
+// A process that ends closes its connections before its listener.
+constexpr Duration kCheckDelay = milliseconds(50);
+constexpr milliseconds kCheckTimeout{600};
+// Several instances find the same parts. All but one of them see its entry in
+// the store before they write their own.
+constexpr Duration kMaxSaveDelay = milliseconds(2'000);
+constexpr Duration kStoreRetryInterval = milliseconds(1'000);
+
+// Whether the response shows that the server process no longer runs. A timeout
+// does not: the server may be partitioned or stopped.
+bool HasEnded(const tl::expected<http::Response, http::ClientError>& response) {
+  constexpr int kMisdirected = 421;
+  return response ? response->status == kMisdirected
+                  : response.error().stage == http::Stage::kConnect &&
+                        !response.error().timed_out;
+}
+
+}  // namespace
+
+QuarantineDriver::QuarantineDriver(State& state, adapter::StoreClient& store,
+                                   http::Client& client, PeerGroup& peers,
+                                   PermitClient& permits)
+    : state_(state),
+      store_(store),
+      client_(client),
+      peers_(peers),
+      permits_(permits) {}
+
+std::string_view QuarantineDriver::Name(Source source) {
+  switch (source) {
+    case Source::kOwn:
+      return "own";
+    case Source::kPeer:
+      return "peer";
+    case Source::kStore:
+      return "store";
+  }
+  return "unknown";
+}
+
+void QuarantineDriver::RunAfter(Duration delay, std::function<void()> handler) {
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(state_.context, delay);
+  timer->async_wait([timer, handler = std::move(handler)](
+                        const boost::system::error_code& error) {
+    if (!error) {
+      handler();
+    }
+  });
+}
+
+// ------------------------------------------------------------------ crashes
+
+void QuarantineDriver::OnBrokenAttempt(const serving::Choice& choice,
+                                       const serving::PartSet& parts) {
+  if (!parts.empty()) {
+    RunAfter(kCheckDelay,
+             [this, choice, parts] { CheckServer(choice, parts); });
+  }
+}
+
+void QuarantineDriver::CheckServer(const serving::Choice& choice,
+                                   const serving::PartSet& parts) {
+  const TimePoint now = MonotonicNow();
+  if (!permits_.MayCall(now, choice.server)) {
+    return;
+  }
+  permits_.OnInternalCall(now, choice.server);
+  http::CallLimits limits;
+  limits.head_timeout = kCheckTimeout;
+  limits.piece_timeout = kCheckTimeout;
+  limits.fresh_connection = true;
+  client_.Fetch(
+      choice.address, adapter::MakeReportRequest(choice.server), limits,
+      [this, choice,
+       parts](const tl::expected<http::Response, http::ClientError>& response) {
+        if (HasEnded(response)) {
+          OnCrash({choice.server, choice.started_ms, parts}, Source::kOwn);
+          peers_.Announce(MessageKind::kServerCrash,
+                          ServerCrashMessage{choice.server.value(),
+                                             choice.started_ms,
+                                             {parts.begin(), parts.end()}},
+                          std::nullopt);
+        }
+      },
+      adapter::MayAnswerInternalCall);
+}
+
+void QuarantineDriver::OnCrashMessage(const InstanceId& from,
+                                      const ServerCrashMessage& message) {
+  OnCrash({ServerId(message.server),
+           message.started_ms,
+           {message.parts.begin(), message.parts.end()}},
+          Source::kPeer);
+  peers_.Announce(MessageKind::kServerCrash, message, from);
+}
+
+void QuarantineDriver::OnCrash(const serving::CrashReport& report,
+                               Source source) {
+  state_.metrics
+      .GetCounter("figwell_server_crash_reports_total",
+                  telemetry::Label("source", Name(source)))
+      .Add();
+  telemetry::Log(Event::kServerCrashed, Name(source),
+                 {{"server", report.server.value()},
+                  {"started_ms", std::to_string(report.started_ms)},
+                  {"parts", PartsText(report.parts)}});
+  state_.quarantine.OnCrash(MonotonicNow(), report);
+  RunAfter(serving::PromptQuarantine::kReportTime,
+           [this, source] { Evaluate(source); });
+}
+
+void QuarantineDriver::Evaluate(Source source) {
+  const auto parts = state_.quarantine.Evaluate(MonotonicNow());
+  if (!parts) {
+    return;
+  }
+  telemetry::Log(Event::kPromptQuarantined, Name(Source::kOwn),
+                 {{"parts", PartsText(*parts)}});
+  if (source == Source::kOwn) {
+    peers_.Announce(MessageKind::kQuarantine,
+                    QuarantineMessage{{parts->begin(), parts->end()}, true},
+                    std::nullopt);
+    Save(*parts);
+    return;
+  }
+  RunAfter(Duration(static_cast<std::int64_t>(
+               state_.random.Unit() *
+               static_cast<double>(kMaxSaveDelay.count()))),
+           [this, parts = *parts] { Save(parts); });
+}
+
+void QuarantineDriver::OnAnswer(const serving::PartSet& parts) {
+  for (const serving::PartSet& lifted :
+       state_.quarantine.OnAnswer(MonotonicNow(), parts)) {
+    LogLifted(lifted, Source::kOwn);
+    peers_.Announce(MessageKind::kQuarantine,
+                    QuarantineMessage{{lifted.begin(), lifted.end()}, false},
+                    std::nullopt);
+    Erase(lifted);
+  }
+}
+
+// ------------------------------------------------------------------ entries
+
+void QuarantineDriver::Add(const serving::PartSet& parts, Source source) {
+  if (state_.quarantine.Add(MonotonicNow(), parts)) {
+    telemetry::Log(Event::kPromptQuarantined, Name(source),
+                   {{"parts", PartsText(parts)}});
+  }
+}
+
+void QuarantineDriver::Remove(const serving::PartSet& parts, Source source) {
+  if (state_.quarantine.Remove(parts)) {
+    LogLifted(parts, source);
+  }
+}
+
+void QuarantineDriver::LogLifted(const serving::PartSet& parts,
+                                 Source source) const {
+  telemetry::Log(Event::kQuarantineLifted, Name(source),
+                 {{"parts", PartsText(parts)}});
+}
+
+void QuarantineDriver::OnQuarantineMessage(const InstanceId& from,
+                                           const QuarantineMessage& message) {
+  const serving::PartSet parts(message.parts.begin(), message.parts.end());
+  if (message.active) {
+    Add(parts, Source::kPeer);
+  } else {
+    Remove(parts, Source::kPeer);
+  }
+  peers_.Announce(MessageKind::kQuarantine, message, from);
+}
+
+std::string QuarantineDriver::EntriesPrefix() const {
+  return state_.settings.store_prefix + "quarantine/";
+}
+
+std::string QuarantineDriver::KeyOf(const serving::PartSet& parts) const {
+  return EntriesPrefix() + PartsText(parts);
+}
+
+void QuarantineDriver::OnStoreEntry(const serving::LoggedEntry& entry) {
+  const serving::PartSet parts =
+      ParseParts(std::string_view(entry.key).substr(EntriesPrefix().size()));
+  if (!entry.removed) {
+    stored_.insert(parts);
+    Add(parts, Source::kStore);
+  } else if (stored_.erase(parts) > 0) {
+    Remove(parts, Source::kStore);
+  }
+}
+
+void QuarantineDriver::Save(const serving::PartSet& parts) {
+  if (stored_.contains(parts) ||
+      !state_.quarantine.Contains(MonotonicNow(), parts)) {
+    return;
+  }
+  store_.GrantLease(std::chrono::duration_cast<milliseconds>(
+                        serving::PromptQuarantine::kQuarantineTime),
+                    [this, parts](const Result<store::LeaseId>& lease) {
+                      if (lease) {
+                        WriteEntry(parts, *lease);
+                        return;
+                      }
+                      telemetry::Log(Event::kDependencyLost,
+                                     "saving a quarantine failed; will retry: " +
+                                         lease.error().message,
+                                     {{"dependency", "store"}});
+                      RunAfter(kStoreRetryInterval,
+                               [this, parts] { Save(parts); });
+                    });
+}
+
+void QuarantineDriver::WriteEntry(const serving::PartSet& parts,
+                                  store::LeaseId lease) {
+  adapter::Change change;
+  // If another instance has written the entry, the lease expires unused.
+  change.conditions.push_back({KeyOf(parts), 0});
+  change.writes.push_back({KeyOf(parts), PartsText(parts), lease});
+  store_.Commit(change, [this, parts](
+                            const Result<adapter::ChangeResult>& result) {
+    if (!result) {
+      telemetry::Log(
+          Event::kDependencyLost,
+          "saving a quarantine failed; will retry: " + result.error().message,
+          {{"dependency", "store"}});
+      RunAfter(kStoreRetryInterval, [this, parts] { Save(parts); });
+    }
+  });
+}
+
+void QuarantineDriver::Erase(const serving::PartSet& parts) {
+  if (state_.quarantine.Contains(MonotonicNow(), parts)) {
+    return;  // it is in quarantine again
+  }
+  adapter::Change change;
+  change.removals.push_back(KeyOf(parts));
+  store_.Commit(change, [this, parts](
+                            const Result<adapter::ChangeResult>& result) {
+    if (!result) {
+      telemetry::Log(
+          Event::kDependencyLost,
+          "lifting a quarantine failed; will retry: " + result.error().message,
+          {{"dependency", "store"}});
+      RunAfter(kStoreRetryInterval, [this, parts] { Erase(parts); });
+    }
+  });
+}
+
+}  // namespace figwell::edge
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -33,11 +33,13 @@
 
 CallerRequest::CallerRequest(State& state, http::Client& client,
                              PlacementDriver& placement, PermitClient& permits,
+                             QuarantineDriver& quarantine,
                              http::ExchangePtr caller)
     : state_(state),
       client_(client),
       placement_(placement),
       permits_(permits),
+      quarantine_(quarantine),
       caller_(std::move(caller)),
       catalog_(state.catalog),
       arrived_(MonotonicNow()),
@@ -118,14 +120,6 @@
   return head_.parts.empty() ? "" : fmt::format("{:x}", head_.parts.back().id);
 }
 
-std::string CallerRequest::SharedPartsText() const {
-  std::string text;
-  for (std::size_t i = 0; i + 1 < head_.parts.size(); ++i) {
-    text += fmt::format("{}{:x}", i == 0 ? "" : ",", head_.parts[i].id);
-  }
-  return text;
-}
-
 void CallerRequest::RefundTeam() {
   if (charged_tokens_ > 0) {
     state_.rate_limiter.Refund(MonotonicNow(), team_, charged_tokens_);
@@ -145,6 +139,8 @@
   const serving::ServiceSpec* service = catalog_->FindService(needs_.service);
   if (service == nullptr || !service->engine) {
     needs_.target = {};
+  } else {
+    shared_parts_ = serving::SharedParts(head_.parts);
   }
   if (!needs_.target.model.empty()) {
     const double ms = static_cast<double>(needs_.prompt_tokens) *
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -10,6 +10,7 @@
 #include "figwell/http.h"
 #include "permit_client.h"
 #include "placement_driver.h"
+#include "quarantine_driver.h"
 #include "state.h"
 
 namespace figwell::edge {
@@ -25,7 +26,8 @@
 class CallerRequest : public std::enable_shared_from_this<CallerRequest> {
  public:
   CallerRequest(State& state, http::Client& client, PlacementDriver& placement,
-                PermitClient& permits, http::ExchangePtr caller);
+                PermitClient& permits, QuarantineDriver& quarantine,
+                http::ExchangePtr caller);
   ~CallerRequest();
   CallerRequest(const CallerRequest&) = delete;
   CallerRequest& operator=(const CallerRequest&) = delete;
@@ -33,6 +35,12 @@
   void Start();
 
  private:
+  /**
+   * A server that crashes on a prompt may do so after the first event of its
+   * answer.
+   */
+  static constexpr std::size_t kEventsOfSoundAnswer = 2;
+
   // request.cc
   bool Authenticate();
   bool ChargeTeam();
@@ -51,13 +59,16 @@
    * caller sends the request again under a new request id.
    */
   std::string PromptIdText() const;
-  /** Ids of the prompt's other parts, which requests share, for the log. */
-  std::string SharedPartsText() const;
   Duration Elapsed() const { return MonotonicNow() - arrived_; }
   Duration Remaining() const { return deadline_ - MonotonicNow(); }
 
   // request_attempt.cc
   void StartAttempt();
+  /**
+   * Ends the request if its prompt is in quarantine.
+   * @return whether it was ended
+   */
+  bool RefuseIfQuarantined();
   /** Sends once the server's arbiter has granted a permit. */
   void AcquirePermit(const serving::Choice& choice);
   void OnPermit(const serving::Choice& choice, const serving::Permit& permit);
@@ -102,8 +113,8 @@
   void OnHead(int status, const http::Headers& headers);
   void OnPiece(std::string_view piece, std::function<void()> resume);
   void OnStreamPiece(std::string_view piece, std::function<void()> resume);
-  /** Updates the times of progress; complete events have just arrived. */
-  void RecordEventTimes();
+  /** Records that `count` complete events have just arrived. */
+  void RecordEvents(std::size_t count);
   void OnNonStreamPiece(std::string_view piece, std::function<void()> resume);
   /**
    * Reserves buffer space for `bytes` more of the current answer.
@@ -129,6 +140,7 @@
   http::Client& client_;
   PlacementDriver& placement_;
   PermitClient& permits_;
+  QuarantineDriver& quarantine_;
   http::ExchangePtr caller_;
   /** The configuration that applies to this request until its end. */
   serving::CatalogPtr catalog_;
@@ -141,6 +153,8 @@
   TeamId team_;
   serving::Tokens charged_tokens_ = 0;
   serving::RequestNeeds needs_;
+  /** The shared parts of the prompt; empty if no engine is needed. */
+  serving::PartSet shared_parts_;
   boost::asio::steady_timer deadline_timer_;
   boost::asio::steady_timer adapter_timer_;
   boost::asio::steady_timer permit_timer_;
@@ -194,7 +208,7 @@
   Duration first_byte_delay_{0};
   std::optional<std::uint64_t> last_event_number_;
   /** Complete events of the current attempt, and events relayed by all. */
-  std::uint64_t attempt_events_ = 0;
+  std::size_t attempt_events_ = 0;
   std::uint64_t relayed_events_ = 0;
   http::EventStreamReader event_reader_;
 };
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -30,6 +30,9 @@
   if (done_) {
     return;
   }
+  if (RefuseIfQuarantined()) {
+    return;
+  }
   const TimePoint now = MonotonicNow();
   const auto choice =
       state_.balancer.Choose(now, *catalog_, state_.directory, needs_);
@@ -60,6 +63,21 @@
   AcquirePermit(*choice);
 }
 
+bool CallerRequest::RefuseIfQuarantined() {
+  const TimePoint now = MonotonicNow();
+  const auto end = state_.quarantine.FindEnd(now, shared_parts_);
+  if (!end) {
+    return false;
+  }
+  const std::string detail = "parts " + PartsText(shared_parts_);
+  if (may_have_run_) {
+    FailRequest(adapter::FailureReason::kBroken, detail);
+  } else {
+    Refuse(serving::RefusalReason::kQuarantined, *end - now, detail);
+  }
+  return true;
+}
+
 void CallerRequest::AcquirePermit(const serving::Choice& choice) {
   if (!state_.balancer.limits().Find(choice.server)) {
     Send(choice);
@@ -328,7 +346,7 @@
                   {"status", std::to_string(status_)},
                   {"sent_to", std::to_string(sent_to)},
                   {"events", std::to_string(attempt_events_)},
-                  {"parts", SharedPartsText()},
+                  {"parts", PartsText(shared_parts_)},
                   {"next", retry       ? "other_server"
                            : may_retry ? "no_retry_budget"
                                        : "none"}});
@@ -340,6 +358,9 @@
 }
 
 void CallerRequest::FailBrokenAttempt(std::string_view detail) {
+  if (attempt_events_ < kEventsOfSoundAnswer) {
+    quarantine_.OnBrokenAttempt(choice_, shared_parts_);
+  }
   FailAttempt(
       relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
       serving::AttemptEnd::kBroken, detail);
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -120,13 +120,18 @@
   });
 }
 
-void CallerRequest::RecordEventTimes() {
+void CallerRequest::RecordEvents(std::size_t count) {
   const TimePoint now = MonotonicNow();
   if (relaying_) {
     max_event_gap_ = std::max(max_event_gap_, now - last_event_at_);
   }
   last_event_at_ = now;
   last_progress_at_ = now;
+  const bool was_sound = attempt_events_ >= kEventsOfSoundAnswer;
+  attempt_events_ += count;
+  if (!was_sound && attempt_events_ >= kEventsOfSoundAnswer) {
+    quarantine_.OnAnswer(shared_parts_);
+  }
 }
 
 void CallerRequest::OnStreamPiece(std::string_view piece,
@@ -141,8 +146,7 @@
     return;
   }
   if (!events->empty()) {
-    RecordEventTimes();
-    attempt_events_ += events->size();
+    RecordEvents(events->size());
   }
   std::string relayed;
   for (const http::StreamEvent& event : *events) {
@@ -185,6 +189,9 @@
   state_.balancer.OnEnd(MonotonicNow(), *attempt_,
                         serving::AttemptEnd::kAnswered);
   attempt_.reset();
+  if (attempt_events_ < kEventsOfSoundAnswer) {
+    quarantine_.OnAnswer(shared_parts_);
+  }
   StartRelay();
   caller_->Finish();
   Finish("answered");
@@ -232,6 +239,7 @@
       MonotonicNow(), *attempt_,
       failed ? serving::AttemptEnd::kFailed : serving::AttemptEnd::kAnswered);
   attempt_.reset();
+  quarantine_.OnAnswer(shared_parts_);
   RecordFirstByte();
   caller_->Send(
       {status_, adapter::HeadersForCaller(answer_headers_), std::move(body_)});
--- a/libs/serving/include/figwell/serving/admission.h
+++ b/libs/serving/include/figwell/serving/admission.h
@@ -16,14 +16,15 @@
 enum class RefusalReason {
   kNoConfiguration,  ///< no configuration is known yet
   kNoRoute,
-  kNoKey,       ///< a required API key is missing or unknown
-  kOverRate,    ///< over the team's rate and burst
-  kNoServer,    ///< no server of the service, or none holds the model
-  kOverloaded,  ///< would miss its target or its deadline
-  kTimedOut,    ///< its deadline passed before a server took it
-  kShed,        ///< every server that was tried rejected it
-  kPaused,      ///< every server that could take it requested a pause
-  kLimited,     ///< every server that could take it is at its limit
+  kNoKey,        ///< a required API key is missing or unknown
+  kOverRate,     ///< over the team's rate and burst
+  kNoServer,     ///< no server of the service, or none holds the model
+  kOverloaded,   ///< would miss its target or its deadline
+  kTimedOut,     ///< its deadline passed before a server took it
+  kShed,         ///< every server that was tried rejected it
+  kPaused,       ///< every server that could take it requested a pause
+  kLimited,      ///< every server that could take it is at its limit
+  kQuarantined,  ///< servers crash on its prompt
 };
 
 std::string_view Name(RefusalReason reason);
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -46,6 +46,8 @@
       return "paused";
     case RefusalReason::kLimited:
       return "limited";
+    case RefusalReason::kQuarantined:
+      return "quarantined";
   }
   return "unknown";
 }
--- /dev/null
+++ b/libs/serving/src/prompt_quarantine.cc
@@ -0,0 +1,207 @@
+#include "figwell/serving/prompt_quarantine.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace figwell::serving {
+namespace {
+
+bool Includes(const PartSet& parts, const PartSet& subset) {
+  return std::includes(parts.begin(), parts.end(), subset.begin(),
+                       subset.end());
+}
+
+bool AnyIncludes(const std::vector<PartSet>& requests, const PartSet& subset) {
+  return std::any_of(
+      requests.begin(), requests.end(),
+      [&](const PartSet& parts) { return Includes(parts, subset); });
+}
+
+PartSet FirstOf(const PartSet& parts, std::size_t count) {
+  return {parts.begin(),
+          std::next(parts.begin(), static_cast<std::ptrdiff_t>(
+                                       std::min(count, parts.size())))};
+}
+
+}  // namespace
+
+PartSet SharedParts(const std::vector<PromptPart>& parts) {
+  PartSet shared;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    if (parts[i].id != 0) {
+      shared.insert(parts[i].id);
+    }
+  }
+  return shared;
+}
+
+PromptQuarantine::Crash& PromptQuarantine::FindOrAddCrash(
+    TimePoint now, const CrashReport& report) {
+  const auto found =
+      std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& crash) {
+        return crash.server == report.server &&
+               crash.started_ms == report.started_ms;
+      });
+  if (found != crashes_.end()) {
+    return *found;
+  }
+  if (crashes_.size() >= kMaxCrashes) {
+    crashes_.erase(crashes_.begin());
+  }
+  crashes_.push_back({report.server, report.started_ms, now, answers_, {}});
+  return crashes_.back();
+}
+
+void PromptQuarantine::DropOutdated(TimePoint now) {
+  std::erase_if(crashes_, [&](const Crash& crash) {
+    return now - crash.at >= kCrashRetention;
+  });
+  std::erase_if(entries_, [&](const auto& item) { return item.second <= now; });
+}
+
+bool PromptQuarantine::IsExplained(TimePoint now, const Crash& crash) const {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
+    return item.second > now && AnyIncludes(crash.requests, item.first);
+  });
+}
+
+std::vector<const PromptQuarantine::Crash*>
+PromptQuarantine::UnexplainedCrashes(TimePoint now) const {
+  std::vector<const Crash*> unexplained;
+  for (const Crash& crash : crashes_) {
+    if (now - crash.at >= kReportTime && !IsExplained(now, crash)) {
+      unexplained.push_back(&crash);
+    }
+  }
+  return unexplained;
+}
+
+PromptQuarantine::CrashesOfParts PromptQuarantine::GroupByPart(
+    const std::vector<const Crash*>& crashes) {
+  CrashesOfParts crashes_of;
+  for (const Crash* crash : crashes) {
+    PartSet suspects;
+    for (const PartSet& request : crash->requests) {
+      suspects.insert(request.begin(), request.end());
+    }
+    for (const std::uint64_t part : suspects) {
+      crashes_of[part].push_back(crash);
+    }
+  }
+  return crashes_of;
+}
+
+bool PromptQuarantine::IsEvidence(TimePoint now, const std::vector<const Crash*>& crashes, const std::vector<const Crash*>& all) const {
+  const Crash& first = *crashes.front();
+  const Crash& last = *crashes.back();
+  const auto between =
+      std::count_if(all.begin(), all.end(), [&](const Crash* crash) {
+        return crash->at >= first.at && crash->at <= last.at;
+      });
+  return crashes.size() >= kMinCrashes &&
+         now - last.at <= kMaxEvidenceAge &&
+         last.at - first.at >= kMinCrashSpan &&
+         answers_ - first.answers_before >= kMinAnswers &&
+         static_cast<double>(crashes.size()) >=
+             kMinCrashShare * static_cast<double>(between);
+}
+
+std::optional<PartSet> PromptQuarantine::FindCulprits(TimePoint now) const {
+  const std::vector<const Crash*> all = UnexplainedCrashes(now);
+  const CrashesOfParts crashes_of = GroupByPart(all);
+  const auto worst = std::max_element(
+      crashes_of.begin(), crashes_of.end(), [](const auto& a, const auto& b) {
+        return a.second.size() < b.second.size();
+      });
+  if (worst == crashes_of.end() || !IsEvidence(now, worst->second, all)) {
+    return std::nullopt;
+  }
+  const std::vector<const Crash*>& crashes = worst->second;
+  PartSet culprits;
+  for (const auto& [part, others] : crashes_of) {
+    if (others == crashes) {
+      culprits.insert(part);
+    } else if (others.size() == crashes.size()) {
+      return std::nullopt;  // the next crash will tell them apart
+    }
+  }
+  const bool occur_together =
+      std::all_of(crashes.begin(), crashes.end(), [&](const Crash* crash) {
+        return AnyIncludes(crash->requests, culprits);
+      });
+  return occur_together ? std::optional(FirstOf(culprits, kMaxEntryParts))
+                        : std::nullopt;
+}
+
+void PromptQuarantine::OnCrash(TimePoint now, const CrashReport& report) {
+  DropOutdated(now);
+  if (report.parts.empty()) {
+    return;
+  }
+  Crash& crash = FindOrAddCrash(now, report);
+  if (crash.requests.size() < kMaxRequestsPerCrash) {
+    crash.requests.push_back(FirstOf(report.parts, kMaxParts));
+  }
+}
+
+std::optional<PartSet> PromptQuarantine::Evaluate(TimePoint now) {
+  const auto culprits = FindCulprits(now);
+  return culprits && Add(now, *culprits) ? culprits : std::nullopt;
+}
+
+void PromptQuarantine::Clear(const PartSet& parts) {
+  for (Crash& crash : crashes_) {
+    for (PartSet& request : crash.requests) {
+      std::erase_if(request,
+                    [&](std::uint64_t part) { return parts.contains(part); });
+    }
+  }
+}
+
+std::vector<PartSet> PromptQuarantine::OnAnswer(TimePoint now,
+                                                const PartSet& parts) {
+  ++answers_;
+  Clear(parts);
+  std::vector<PartSet> removed;
+  for (const auto& [entry, end] : entries_) {
+    if (end > now && Includes(parts, entry)) {
+      removed.push_back(entry);
+    }
+  }
+  for (const PartSet& entry : removed) {
+    entries_.erase(entry);
+  }
+  return removed;
+}
+
+bool PromptQuarantine::Add(TimePoint now, const PartSet& parts) {
+  DropOutdated(now);
+  if (parts.empty() || parts.size() > kMaxEntryParts ||
+      entries_.size() >= kMaxEntries) {
+    return false;
+  }
+  return entries_.emplace(parts, now + kQuarantineTime).second;
+}
+
+bool PromptQuarantine::Remove(const PartSet& parts) {
+  Clear(parts);
+  return entries_.erase(parts) > 0;
+}
+
+bool PromptQuarantine::Contains(TimePoint now, const PartSet& parts) const {
+  const auto found = entries_.find(parts);
+  return found != entries_.end() && found->second > now;
+}
+
+std::optional<TimePoint> PromptQuarantine::FindEnd(TimePoint now,
+                                                   const PartSet& parts) const {
+  std::optional<TimePoint> last;
+  for (const auto& [entry, end] : entries_) {
+    if (end > now && Includes(parts, entry)) {
+      last = std::max(last.value_or(end), end);
+    }
+  }
+  return last;
+}
+
+}  // namespace figwell::serving
--- /dev/null
+++ b/libs/serving/tests/prompt_quarantine_test.cc
@@ -0,0 +1,191 @@
+#include "figwell/serving/prompt_quarantine.h"
+
+#include <string>
+
+#include "figwell/testing.h"
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+constexpr std::uint64_t kSystem = 0xa;
+constexpr std::uint64_t kBad = 0xbad;
+constexpr int kCrashes = static_cast<int>(PromptQuarantine::kMinCrashes);
+
+CrashReport Crash(int server, PartSet parts, std::int64_t started_ms = 1) {
+  return {ServerId(std::to_string(server)), started_ms, std::move(parts)};
+}
+
+void Answer(PromptQuarantine& quarantine, TimePoint now, const PartSet& parts,
+            std::uint64_t times) {
+  for (std::uint64_t i = 0; i < times; ++i) {
+    CHECK(quarantine.OnAnswer(now, parts).empty());
+  }
+}
+
+// Evaluates once all reports of a crash at `now` have arrived.
+std::optional<PartSet> Evaluate(PromptQuarantine& quarantine, TimePoint now) {
+  CHECK_FALSE(quarantine.Evaluate(now));
+  return quarantine.Evaluate(now + PromptQuarantine::kReportTime);
+}
+
+// Enough crashes under kBad, a second apart; requests with the other parts
+// are answered in between.
+std::optional<PartSet> CrashServers(PromptQuarantine& quarantine) {
+  std::optional<PartSet> quarantined;
+  for (int i = 0; i < kCrashes; ++i) {
+    CHECK_FALSE(quarantined);
+    const TimePoint now = At(1'000 * i);
+    const std::uint64_t topic = 0x10U + static_cast<std::uint64_t>(i);
+    quarantine.OnCrash(now, Crash(i, {kSystem, kBad, topic}));
+    Answer(quarantine, now, {kSystem, 0x10, 0x11, 0x12, 0x13}, 10);
+    quarantined = Evaluate(quarantine, now);
+  }
+  return quarantined;
+}
+
+TEST_CASE("the last part of a prompt is not shared") {
+  CHECK(SharedParts({}).empty());
+  CHECK(SharedParts({{1, 10}}).empty());
+  CHECK(SharedParts({{1, 10}, {2, 10}, {0, 10}, {3, 10}}) == PartSet{1, 2});
+}
+
+TEST_CASE("a part under which several servers crashed is quarantined") {
+  PromptQuarantine quarantine;
+  CHECK(CrashServers(quarantine) == PartSet{kBad});
+  CHECK(quarantine.FindEnd(At(4'000), {kSystem, kBad, 0x17}));
+  CHECK_FALSE(quarantine.FindEnd(At(4'000), {kSystem, 0x10}));
+}
+
+TEST_CASE("a part of a minority of the crashes is not quarantined") {
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 30; ++i) {
+    const std::uint64_t part = i % 3 == 0 ? kBad : 0x100U + static_cast<std::uint64_t>(i);
+    quarantine.OnCrash(At(400 * i), Crash(i, {part}));
+    Answer(quarantine, At(400 * i), {kSystem}, 10);
+    CHECK_FALSE(Evaluate(quarantine, At(400 * i)));
+  }
+}
+
+TEST_CASE("an entry that was lifted elsewhere does not return by itself") {
+  PromptQuarantine quarantine;
+  CrashServers(quarantine);
+  CHECK(quarantine.Remove({kBad}));
+  CHECK_FALSE(Evaluate(quarantine, At(5'000)));
+}
+
+TEST_CASE("several reports of one crash count once") {
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 5; ++i) {
+    quarantine.OnCrash(At(1'000 * i), Crash(0, {kSystem, kBad}));
+    Answer(quarantine, At(1'000 * i), {kSystem}, 10);
+    CHECK_FALSE(Evaluate(quarantine, At(1'000 * i)));
+  }
+}
+
+TEST_CASE("each start of a server can crash once") {
+  PromptQuarantine quarantine;
+  std::optional<PartSet> quarantined;
+  for (int i = 0; i < kCrashes; ++i) {
+    quarantine.OnCrash(At(1'000 * i), Crash(0, {kBad}, i));
+    Answer(quarantine, At(1'000 * i), {kSystem}, 10);
+    quarantined = Evaluate(quarantine, At(1'000 * i));
+  }
+  CHECK(quarantined == PartSet{kBad});
+}
+
+TEST_CASE("servers that fail together are not evidence against a part") {
+  PromptQuarantine quarantine;
+  Answer(quarantine, At(0), {kSystem}, 100);
+  for (int i = 0; i < 20; ++i) {
+    quarantine.OnCrash(At(i), Crash(i, {kSystem, 0x10}));
+  }
+  CHECK_FALSE(Evaluate(quarantine, At(20)));
+}
+
+TEST_CASE("no part is to blame while no request is answered") {
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 20; ++i) {
+    quarantine.OnCrash(At(500 * i), Crash(i, {kSystem, 0x10}));
+    CHECK_FALSE(Evaluate(quarantine, At(500 * i)));
+  }
+}
+
+TEST_CASE("parts that always occur together are refused only together") {
+  PromptQuarantine quarantine;
+  std::optional<PartSet> quarantined;
+  for (int i = 0; i < kCrashes; ++i) {
+    quarantine.OnCrash(At(1'000 * i), Crash(i, {kSystem, kBad}));
+    Answer(quarantine, At(1'000 * i), {0x20}, 10);
+    quarantined = Evaluate(quarantine, At(1'000 * i));
+  }
+  CHECK(quarantined == PartSet{kSystem, kBad});
+  CHECK(quarantine.FindEnd(At(4'000), {kSystem, kBad, 0x30}));
+  CHECK_FALSE(quarantine.FindEnd(At(4'000), {kSystem, 0x30}));
+  CHECK_FALSE(quarantine.FindEnd(At(4'000), {kBad}));
+}
+
+TEST_CASE("parts of different requests at one server are told apart") {
+  PromptQuarantine quarantine;
+  for (int i = 0; i < kCrashes; ++i) {
+    quarantine.OnCrash(At(1'000 * i), Crash(i, {0x40}));
+    quarantine.OnCrash(At(1'000 * i), Crash(i, {kBad}));
+    Answer(quarantine, At(1'000 * i), {kSystem}, 10);
+    CHECK_FALSE(Evaluate(quarantine, At(1'000 * i)));
+  }
+  quarantine.OnCrash(At(5'000), Crash(kCrashes, {kBad}));
+  CHECK(Evaluate(quarantine, At(5'000)) == PartSet{kBad});
+}
+
+TEST_CASE("an answer to a request with the part lifts its quarantine") {
+  PromptQuarantine quarantine;
+  CrashServers(quarantine);
+  CHECK(quarantine.OnAnswer(At(4'100), {kSystem}).empty());
+  CHECK(quarantine.OnAnswer(At(4'100), {kSystem, kBad}) ==
+        std::vector<PartSet>{{kBad}});
+  CHECK_FALSE(quarantine.FindEnd(At(4'100), {kBad}));
+}
+
+TEST_CASE("one more crash after a quarantine starts the next one") {
+  PromptQuarantine quarantine;
+  CrashServers(quarantine);
+  const TimePoint end = *quarantine.FindEnd(At(4'000), {kBad});
+  CHECK(end >= At(3'000) + PromptQuarantine::kQuarantineTime);
+  CHECK_FALSE(quarantine.FindEnd(end, {kBad}));
+  quarantine.OnCrash(end + seconds(5), Crash(9, {kBad}));
+  CHECK(Evaluate(quarantine, end + seconds(5)) == PartSet{kBad});
+}
+
+TEST_CASE("a second part is found while the first one is in quarantine") {
+  PromptQuarantine quarantine;
+  CrashServers(quarantine);
+  std::optional<PartSet> quarantined;
+  for (int i = 0; i < kCrashes; ++i) {
+    const TimePoint now = At(50'000 + 1'000 * i);
+    quarantine.OnCrash(now, Crash(100 + i, {0xdead}));
+    Answer(quarantine, now, {kSystem}, 10);
+    quarantined = Evaluate(quarantine, now);
+  }
+  CHECK(quarantined == PartSet{0xdead});
+  CHECK(quarantine.size() == 2);
+}
+
+TEST_CASE("entries from elsewhere are bounded and removable") {
+  PromptQuarantine quarantine;
+  CHECK_FALSE(quarantine.Add(At(0), {}));
+  CHECK(quarantine.Add(At(0), {kBad}));
+  CHECK_FALSE(quarantine.Add(At(1), {kBad}));
+  CHECK(quarantine.Remove({kBad}));
+  CHECK_FALSE(quarantine.Remove({kBad}));
+  for (std::uint64_t i = 1; i <= 2 * PromptQuarantine::kMaxEntries; ++i) {
+    quarantine.Add(At(0), {i});
+  }
+  CHECK(quarantine.size() == PromptQuarantine::kMaxEntries);
+}
+
+}  // namespace
+}  // namespace figwell::serving
--- a/libs/telemetry/src/metric_catalogue.cc
+++ b/libs/telemetry/src/metric_catalogue.cc
@@ -28,6 +28,9 @@
                "entry did"},
     MetricInfo{"figwell_server_limit_changes_total", "counter",
                "Limits of servers that began, changed or ended, by change"},
+    MetricInfo{"figwell_server_crash_reports_total", "counter",
+               "Requests that were waiting at a server when it crashed, by who "
+               "noticed"},
     MetricInfo{"figwell_permit_waits_total", "counter",
                "Requests that waited for a permit of a limited server"},
     MetricInfo{"figwell_server_pauses_total", "counter",
@@ -47,6 +50,8 @@
                "Time from a request to the end of its answer, by route kind"},
     MetricInfo{"figwell_leads", "gauge",
                "Whether this instance orders the backend servers"},
+    MetricInfo{"figwell_prompts_quarantined", "gauge",
+               "Sets of prompt parts whose requests are refused"},
     MetricInfo{"figwell_servers_limited", "gauge",
                "Backend servers that limit the rate of requests"},
     MetricInfo{"figwell_servers_usable", "gauge",
