--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -134,10 +134,10 @@
     Save(*parts);
     return;
   }
-  RunAfter(Duration(static_cast<std::int64_t>(
-               state_.random.Unit() *
-               static_cast<double>(kMaxSaveDelay.count()))),
-           [this, parts = *parts] { Save(parts); });
+  RunAfter(
+      Duration(static_cast<std::int64_t>(
+          state_.random.Unit() * static_cast<double>(kMaxSaveDelay.count()))),
+      [this, parts = *parts] { Save(parts); });
 }
 
 void QuarantineDriver::OnAnswer(const serving::PartSet& parts) {
@@ -207,20 +207,20 @@
       !state_.quarantine.Contains(MonotonicNow(), parts)) {
     return;
   }
-  store_.GrantLease(std::chrono::duration_cast<milliseconds>(
-                        serving::PromptQuarantine::kQuarantineTime),
-                    [this, parts](const Result<store::LeaseId>& lease) {
-                      if (lease) {
-                        WriteEntry(parts, *lease);
-                        return;
-                      }
-                      telemetry::Log(Event::kDependencyLost,
-                                     "saving a quarantine failed; will retry: " +
-                                         lease.error().message,
-                                     {{"dependency", "store"}});
-                      RunAfter(kStoreRetryInterval,
-                               [this, parts] { Save(parts); });
-                    });
+  store_.GrantLease(
+      std::chrono::duration_cast<milliseconds>(
+          serving::PromptQuarantine::kQuarantineTime),
+      [this, parts](const Result<store::LeaseId>& lease) {
+        if (lease) {
+          WriteEntry(parts, *lease);
+          return;
+        }
+        telemetry::Log(
+            Event::kDependencyLost,
+            "saving a quarantine failed; will retry: " + lease.error().message,
+            {{"dependency", "store"}});
+        RunAfter(kStoreRetryInterval, [this, parts] { Save(parts); });
+      });
 }
 
 void QuarantineDriver::WriteEntry(const serving::PartSet& parts,
@@ -229,16 +229,16 @@
   // If another instance has written the entry, the lease expires unused.
   change.conditions.push_back({KeyOf(parts), 0});
   change.writes.push_back({KeyOf(parts), PartsText(parts), lease});
-  store_.Commit(change, [this, parts](
-                            const Result<adapter::ChangeResult>& result) {
-    if (!result) {
-      telemetry::Log(
-          Event::kDependencyLost,
-          "saving a quarantine failed; will retry: " + result.error().message,
-          {{"dependency", "store"}});
-      RunAfter(kStoreRetryInterval, [this, parts] { Save(parts); });
-    }
-  });
+  store_.Commit(
+      change, [this, parts](const Result<adapter::ChangeResult>& result) {
+        if (!result) {
+          telemetry::Log(Event::kDependencyLost,
+                         "saving a quarantine failed; will retry: " +
+                             result.error().message,
+                         {{"dependency", "store"}});
+          RunAfter(kStoreRetryInterval, [this, parts] { Save(parts); });
+        }
+      });
 }
 
 void QuarantineDriver::Erase(const serving::PartSet& parts) {
@@ -247,16 +247,16 @@
   }
   adapter::Change change;
   change.removals.push_back(KeyOf(parts));
-  store_.Commit(change, [this, parts](
-                            const Result<adapter::ChangeResult>& result) {
-    if (!result) {
-      telemetry::Log(
-          Event::kDependencyLost,
-          "lifting a quarantine failed; will retry: " + result.error().message,
-          {{"dependency", "store"}});
-      RunAfter(kStoreRetryInterval, [this, parts] { Erase(parts); });
-    }
-  });
+  store_.Commit(
+      change, [this, parts](const Result<adapter::ChangeResult>& result) {
+        if (!result) {
+          telemetry::Log(Event::kDependencyLost,
+                         "lifting a quarantine failed; will retry: " +
+                             result.error().message,
+                         {{"dependency", "store"}});
+          RunAfter(kStoreRetryInterval, [this, parts] { Erase(parts); });
+        }
+      });
 }
 
 }  // namespace figwell::edge
--- a/libs/http/include/figwell/http.h
+++ b/libs/http/include/figwell/http.h
@@ -81,6 +81,9 @@
 /** The path of a request target, without its query. */
 std::string_view PathOf(std::string_view target);
 
+/** Whether a client can connect to an address: IP:PORT, the port not 0. */
+bool IsServerAddress(const std::string& address);
+
 /** A JSON response. */
 Response JsonResponse(int status, std::string body);
 
--- a/libs/http/src/address.cc
+++ b/libs/http/src/address.cc
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <sstream>
 
+#include "figwell/http.h"
+
 namespace figwell::http {
 namespace {
 
@@ -45,6 +47,11 @@
   return boost::asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(*port));
 }
 
+bool IsServerAddress(const std::string& address) {
+  const auto endpoint = ParseEndpoint(address);
+  return endpoint && endpoint->port() != 0;
+}
+
 std::string FormatEndpoint(const boost::asio::ip::tcp::endpoint& endpoint) {
   std::ostringstream text;
   text << endpoint;
--- a/libs/serving/include/figwell/serving/prompt_quarantine.h
+++ b/libs/serving/include/figwell/serving/prompt_quarantine.h
@@ -99,7 +99,8 @@
   bool Remove(const PartSet& parts);
   bool Contains(TimePoint now, const PartSet& parts) const;
 
-  /** When the quarantine of a request with these parts ends, if it is in one. */
+  /** When the quarantine of a request with these parts ends, if it is in one.
+   */
   std::optional<TimePoint> FindEnd(TimePoint now, const PartSet& parts) const;
   std::size_t size() const { return entries_.size(); }
 
--- a/libs/serving/src/prompt_quarantine.cc
+++ b/libs/serving/src/prompt_quarantine.cc
@@ -91,15 +91,16 @@
   return crashes_of;
 }
 
-bool PromptQuarantine::IsEvidence(TimePoint now, const std::vector<const Crash*>& crashes, const std::vector<const Crash*>& all) const {
+bool PromptQuarantine::IsEvidence(TimePoint now,
+                                  const std::vector<const Crash*>& crashes,
+                                  const std::vector<const Crash*>& all) const {
   const Crash& first = *crashes.front();
   const Crash& last = *crashes.back();
   const auto between =
       std::count_if(all.begin(), all.end(), [&](const Crash* crash) {
         return crash->at >= first.at && crash->at <= last.at;
       });
-  return crashes.size() >= kMinCrashes &&
-         now - last.at <= kMaxEvidenceAge &&
+  return crashes.size() >= kMinCrashes && now - last.at <= kMaxEvidenceAge &&
          last.at - first.at >= kMinCrashSpan &&
          answers_ - first.answers_before >= kMinAnswers &&
          static_cast<double>(crashes.size()) >=
--- a/libs/serving/tests/prompt_quarantine_test.cc
+++ b/libs/serving/tests/prompt_quarantine_test.cc
@@ -64,7 +64,8 @@
 TEST_CASE("a part of a minority of the crashes is not quarantined") {
   PromptQuarantine quarantine;
   for (int i = 0; i < 30; ++i) {
-    const std::uint64_t part = i % 3 == 0 ? kBad : 0x100U + static_cast<std::uint64_t>(i);
+    const std::uint64_t part =
+        i % 3 == 0 ? kBad : 0x100U + static_cast<std::uint64_t>(i);
     quarantine.OnCrash(At(400 * i), Crash(i, {part}));
     Answer(quarantine, At(400 * i), {kSystem}, 10);
     CHECK_FALSE(Evaluate(quarantine, At(400 * i)));
