Accept no rejection without an id on a connection that was used before

What callers would see (an operator's report): a server writes an earlier refusal once more on a kept connection. If the copy has no Request-Id, it was taken for the answer to the next request: that ran at a second server while the first one ran it too, or its caller was told that it had not run.

Cause: an answer without an id counted as the request's own. That is safe for successes, which need an id and a seal, but a rejection needed neither.

Evidence: "a refusal of an earlier request is no refusal of the next one" fails before for 503, 429 and 421 without an id: a non-idempotent request ran at both servers. Copies with the id of the earlier request did no harm before (refuted).

Change: on a reused connection a rejection without an id is skipped like an answer to another request, and the answer that follows is awaited; the same for figwell's own calls. On a new connection no earlier request can have been rejected.

--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -280,8 +280,8 @@
   limits.allow_unframed = true;
   http::ResponseHandlers handlers;
   const auto self = shared_from_this();
-  handlers.belongs = [id = head_.id](const http::Headers& headers) {
-    return !adapter::DecodeResponseHead(id, 0, headers).names_other_request;
+  handlers.belongs = [id = head_.id](const http::AnswerHead& answer) {
+    return adapter::MayAnswerRequest(id, answer);
   };
   handlers.on_head = [self](int status, const http::Headers& headers) {
     self->OnHead(status, headers);
--- a/libs/http/include/figwell/http.h
+++ b/libs/http/include/figwell/http.h
@@ -310,17 +310,24 @@
   std::optional<TimePoint> write_before;
 };
 
+/** The head of an answer, and what is known of its connection. */
+struct AnswerHead {
+  int status = 0;
+  const Headers& headers;
+  /** Whether earlier requests were sent on the connection. */
+  bool connection_reused = false;
+};
+
 /**
  * Callbacks of a call. Exactly one of on_end and on_error runs, as the last,
  * unless the call is cancelled.
  */
 struct ResponseHandlers {
   /**
-   * Whether an answer with these header fields belongs to this request. One
-   * that does not is read and skipped, and the next one is awaited. Null: all
-   * answers belong.
+   * Whether an answer with this head belongs to this request. One that does not
+   * is read and skipped, and the next one is awaited. Null: all answers belong.
    */
-  std::function<bool(const Headers&)> belongs;
+  std::function<bool(const AnswerHead&)> belongs;
   std::function<void(int status, const Headers&)> on_head;
   /** The next piece is read only after `resume` is called. */
   std::function<void(std::string_view piece, std::function<void()> resume)>
@@ -358,7 +365,7 @@
   CallId Fetch(
       const std::string& address, const Request& request, CallLimits limits,
       const std::function<void(tl::expected<Response, ClientError>)>& on_done,
-      std::function<bool(const Headers&)> belongs = nullptr);
+      std::function<bool(const AnswerHead&)> belongs = nullptr);
 
   /** Aborts a call and resets its connection; no handler runs afterwards. */
   void Cancel(CallId call);
--- a/libs/http/src/call.cc
+++ b/libs/http/src/call.cc
@@ -195,7 +195,8 @@
   for (const auto& field : message) {
     headers.Add(std::string(field.name_string()), std::string(field.value()));
   }
-  skip_answer_ = handlers_.belongs && !handlers_.belongs(headers);
+  skip_answer_ =
+      handlers_.belongs && !handlers_.belongs({status, headers, reused_});
   has_skipped_answer_ = has_skipped_answer_ || skip_answer_;
   if (handlers_.on_head && !skip_answer_) {
     handlers_.on_head(status, headers);
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -54,7 +54,7 @@
 CallId Client::Fetch(
     const std::string& address, const Request& request, CallLimits limits,
     const std::function<void(tl::expected<Response, ClientError>)>& on_done,
-    std::function<bool(const Headers&)> belongs) {
+    std::function<bool(const AnswerHead&)> belongs) {
   const auto fetched = std::make_shared<FetchedAnswer>();
   const auto id = std::make_shared<CallId>(0);
   ResponseHandlers handlers;
