Relay no stream with a Content-Encoding

What callers would see: a stream in an encoding that nobody asked for, with the server's seal, as a success.

Cause: the check that an answer is the server's own (IsAuthentic) was applied to complete answers; for streams the head was checked for seal and id alone.

Evidence: "an encoded stream is not the server's own and is not relayed" fails before: 200 with the encoded events. edge_tests pass after.

Change: one check for both.

--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -28,7 +28,7 @@
                    {choice_.server, choice_.started_ms, sent_at_, head_.id},
                    answer_);
   streaming_ = route_->kind == serving::RequestKind::kStreaming &&
-               IsSuccess() && answer_.sealed && answer_.names_this_request;
+               IsSuccess() && IsAuthentic();
   if (!streaming_ && IsSuccess() && attempt_) {
     state_.balancer.OnFirstByte(now, *attempt_);
   }
