Continue a broken stream only with events that belong to it

Cause: any authentic success of the next server continued the stream: a 204 or an answer without events ended it as complete, also if the first server had broken off inside an event, and text in its body was passed on as events.

Evidence: "a broken stream never continues with the next server's error" plays 16 answers after 3 events, cut at an event and inside one; before, 204 and a head in the body fail. "a stream that broke inside an event is incomplete without it" fails before. Refuted by the same test: errors with and without seal, id, length or chunks, large ones, rejections, noise and closed connections never reached the caller before either.

Change: the status has to be that of the head that was relayed; each event of a resumed stream needs an id; after a cut event the stream is complete only once another event has come.

--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -186,8 +186,11 @@
   /** Bytes of a rejection's body, which is read and discarded. */
   std::size_t discarded_bytes_ = 0;
   bool streaming_ = false;
-  /** Whether the head of an answer was sent to the caller. */
+  /** Whether the head of an answer was sent to the caller, and its status. */
   bool relaying_ = false;
+  int relayed_status_ = 0;
+  /** Whether the current attempt continues after last_event_number_. */
+  bool resumes_ = false;
   /**
    * Whether the current answer is not a stream, but passed through as it
    * arrives because it exceeds the buffer limits.
@@ -207,6 +210,8 @@
   bool first_byte_sent_ = false;
   Duration first_byte_delay_{0};
   std::optional<std::uint64_t> last_event_number_;
+  /** Whether an attempt broke off inside an event that has not come since. */
+  bool event_was_cut_ = false;
   /** Complete events of the current attempt, and events relayed by all. */
   std::size_t attempt_events_ = 0;
   std::uint64_t relayed_events_ = 0;
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -237,6 +237,7 @@
     fields.priority = serving::ServerPriority(*route_);
   }
   fields.resume_after = last_event_number_;
+  resumes_ = last_event_number_.has_value();
   if (sends_ == 0) {
     state_.retries.RecordFirstSend(now, needs_.service);
   }
@@ -361,6 +362,7 @@
   if (attempt_events_ < kEventsOfSoundAnswer) {
     quarantine_.OnBrokenAttempt(choice_, shared_parts_);
   }
+  event_was_cut_ = event_was_cut_ || event_reader_.pending() > 0;
   FailAttempt(
       relaying_ ? serving::Progress::kMidStream : serving::Progress::kUnknown,
       serving::AttemptEnd::kBroken, detail);
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -11,6 +11,11 @@
 // that is needed. Beyond them the connection is closed.
 constexpr std::size_t kMaxDiscardedBytes = 16'384;
 
+// Events of a resumable stream have ids; comments need none.
+bool MayContinueStream(const http::StreamEvent& event) {
+  return event.number.has_value() || event.raw.starts_with(':');
+}
+
 }  // namespace
 
 void CallerRequest::OnHead(int status, const http::Headers& headers) {
@@ -27,8 +32,9 @@
   ApplyServerState(state_,
                    {choice_.server, choice_.started_ms, sent_at_, head_.id},
                    answer_);
+  const bool continues = !relaying_ || status_ == relayed_status_;
   streaming_ = route_->kind == serving::RequestKind::kStreaming &&
-               IsSuccess() && IsAuthentic();
+               IsSuccess() && IsAuthentic() && continues;
   if (!streaming_ && IsSuccess() && attempt_) {
     state_.balancer.OnFirstByte(now, *attempt_);
   }
@@ -102,6 +108,7 @@
 void CallerRequest::StartRelay() {
   if (!relaying_) {
     relaying_ = true;
+    relayed_status_ = status_;
     caller_->StartStream(status_, adapter::HeadersForCaller(answer_headers_));
   }
 }
@@ -145,6 +152,11 @@
     FailBrokenAttempt("event exceeds the size or buffer limit");
     return;
   }
+  if (resumes_ &&
+      !std::all_of(events->begin(), events->end(), MayContinueStream)) {
+    FailBrokenAttempt("event without an id in a resumed stream");
+    return;
+  }
   if (!events->empty()) {
     RecordEvents(events->size());
   }
@@ -156,6 +168,7 @@
     }
     if (event.number) {
       last_event_number_ = event.number;
+      event_was_cut_ = false;
     }
     ++relayed_events_;
     relayed += event.raw;
@@ -186,6 +199,10 @@
     FailBrokenAttempt("answer ended inside an event");
     return;
   }
+  if (event_was_cut_) {
+    FailBrokenAttempt("answer lacks the event that an earlier one broke off");
+    return;
+  }
   state_.balancer.OnEnd(MonotonicNow(), *attempt_,
                         serving::AttemptEnd::kAnswered);
   attempt_.reset();
