Pass the start time and the limit along instead of looking them up again

A request whose permit was asked for while its server's limit ended used to ask with a limit of 0; it asks with the limit that it was chosen under.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -191,9 +191,9 @@
                                     std::int64_t started_ms) {
     OnServerLeaving(id, started_ms, std::nullopt);
   };
-  state_.on_limit_stated = [this](const ServerId& id,
+  state_.on_limit_stated = [this](const ServerId& id, std::int64_t started_ms,
                                   serving::LimitChange change) {
-    OnLimitStated(id, change, std::nullopt);
+    OnLimitStated(id, started_ms, change, std::nullopt);
   };
 }
 
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -66,7 +66,8 @@
    * A server has stated its limit or its end, here or to the peer `from`: logs
    * a change, and announces or forwards the statement.
    */
-  void OnLimitStated(const ServerId& id, serving::LimitChange change,
+  void OnLimitStated(const ServerId& id, std::int64_t started_ms,
+                     serving::LimitChange change,
                      const std::optional<InstanceId>& from);
   void OnInstanceEntries(const std::vector<serving::LoggedEntry>& entries);
   void ApplyInstanceEntry(const serving::LoggedEntry& entry);
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -204,17 +204,17 @@
 void Edge::OnServerLimitMessage(const InstanceId& from,
                                 const ServerLimitMessage& message) {
   const ServerId id(message.server);
-  const serving::BackendServer* server = state_.directory.Find(id);
-  if (server == nullptr || server->started_ms != message.started_ms) {
+  if (!state_.directory.IsSameStart(id, message.started_ms)) {
     return;
   }
   const auto change = state_.balancer.limits().OnPeerStatement(
       MonotonicNow(), id,
       message.limited ? std::optional(message.per_second) : std::nullopt);
-  OnLimitStated(id, change, from);
+  OnLimitStated(id, message.started_ms, change, from);
 }
 
-void Edge::OnLimitStated(const ServerId& id, serving::LimitChange change,
+void Edge::OnLimitStated(const ServerId& id, std::int64_t started_ms,
+                         serving::LimitChange change,
                          const std::optional<InstanceId>& from) {
   const auto limit = state_.balancer.limits().Find(id);
   if (change != serving::LimitChange::kNone &&
@@ -231,12 +231,10 @@
   if (!limit) {
     permits_.RemoveServer(id);
   }
-  const serving::BackendServer* server = state_.directory.Find(id);
-  peers_.Announce(
-      MessageKind::kServerLimit,
-      ServerLimitMessage{id.value(), server == nullptr ? 0 : server->started_ms,
-                         limit.has_value(), limit.value_or(0)},
-      from);
+  peers_.Announce(MessageKind::kServerLimit,
+                  ServerLimitMessage{id.value(), started_ms, limit.has_value(),
+                                     limit.value_or(0)},
+                  from);
 }
 
 // ---------------------------------------------------------------- instances
--- a/apps/edge/permit_client.cc
+++ b/apps/edge/permit_client.cc
@@ -46,35 +46,30 @@
       max_wait);
 }
 
-void PermitClient::Acquire(const ServerId& server, Duration max_wait,
-                           Callback on_done) {
-  const auto limit = state_.balancer.limits().Find(server);
-  if (!limit) {
-    on_done({true, Duration{0}});
-    return;
-  }
+void PermitClient::Acquire(const ServerId& server, double per_second,
+                           Duration max_wait, Callback on_done) {
   if (ArbiterOf(server) == state_.settings.instance) {
     const TimePoint now = MonotonicNow();
-    const serving::Permit permit = Grant(now, server, *limit, max_wait);
+    const serving::Permit permit = Grant(now, server, per_second, max_wait);
     state_.balancer.limits().OnPermit(now, server, permit);
     on_done(permit);
     return;
   }
   const std::uint64_t number = ++last_number_;
-  pending_.emplace(number,
-                   PendingRequest{server, max_wait, 0, std::move(on_done),
-                                  boost::asio::steady_timer(state_.context)});
+  pending_.emplace(
+      number,
+      PendingRequest{server, per_second, max_wait, 0, std::move(on_done),
+                     boost::asio::steady_timer(state_.context)});
   SendRequest(number);
 }
 
 void PermitClient::SendRequest(std::uint64_t number) {
   PendingRequest& request = pending_.at(number);
-  const double limit =
-      state_.balancer.limits().Find(request.server).value_or(0);
   ++request.sends;
-  peers_.Send(ArbiterOf(request.server), MessageKind::kPermitRequest,
-              PermitRequestMessage{number, request.server.value(), limit,
-                                   ToMilliseconds(request.max_wait)});
+  peers_.Send(
+      ArbiterOf(request.server), MessageKind::kPermitRequest,
+      PermitRequestMessage{number, request.server.value(), request.per_second,
+                           ToMilliseconds(request.max_wait)});
   request.timer.expires_after(kReplyTimeout);
   request.timer.async_wait(
       [this, number](const boost::system::error_code& error) {
--- a/apps/edge/permit_client.h
+++ b/apps/edge/permit_client.h
@@ -24,9 +24,11 @@
   /**
    * Asks for a permit for one request. `on_done` runs once, maybe before the
    * return. If the arbiter does not reply, the permit is not granted.
+   * @param per_second the server's limit
    * @param max_wait how long the request can wait for its permit
    */
-  void Acquire(const ServerId& server, Duration max_wait, Callback on_done);
+  void Acquire(const ServerId& server, double per_second, Duration max_wait,
+               Callback on_done);
 
   /**
    * Whether an internal call to the server may be sent now: not during a pause,
@@ -44,6 +46,7 @@
  private:
   struct PendingRequest {
     ServerId server;
+    double per_second = 0;
     Duration max_wait{0};
     int sends = 0;
     Callback on_done;
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -91,7 +91,7 @@
   /** Ends a request that no server can take. */
   void RefuseWithoutServer();
   /** Whether a server holds the model, with or without the adapter. */
-  bool AnyServerHoldsModel() const;
+  bool AnyServerHoldsModel(serving::LimitedServers limited_servers) const;
   /** The delays until a server can hold the target; they set Retry-After. */
   serving::MissingTarget FindMissingTarget() const;
   void Send(const serving::Choice& choice);
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -79,7 +79,8 @@
 }
 
 void CallerRequest::AcquirePermit(const serving::Choice& choice) {
-  if (!state_.balancer.limits().Find(choice.server)) {
+  const auto limit = state_.balancer.limits().Find(choice.server);
+  if (!limit) {
     Send(choice);
     return;
   }
@@ -89,7 +90,7 @@
           ? Duration{0}
           : serving::MaxPermitWait(*route_, choice, Elapsed(), Remaining());
   permits_.Acquire(
-      choice.server, max_wait,
+      choice.server, *limit, max_wait,
       [self = shared_from_this(), choice](const serving::Permit& permit) {
         if (!self->done_) {
           self->OnPermit(choice, permit);
@@ -120,9 +121,8 @@
 }
 
 void CallerRequest::SendPermitted(const serving::Choice& choice) {
-  const serving::BackendServer* server = state_.directory.Find(choice.server);
-  if (server == nullptr || server->draining ||
-      server->started_ms != choice.started_ms ||
+  if (!state_.directory.IsUsable(choice.server) ||
+      !state_.directory.IsSameStart(choice.server, choice.started_ms) ||
       state_.balancer.IsPaused(MonotonicNow(), choice.server)) {
     StartAttempt();
     return;
@@ -180,18 +180,16 @@
   return true;
 }
 
-bool CallerRequest::AnyServerHoldsModel() const {
-  return state_.balancer.AnyServerHolds(MonotonicNow(), state_.directory,
-                                        needs_.service,
-                                        {needs_.target.model, {}});
+bool CallerRequest::AnyServerHoldsModel(
+    serving::LimitedServers limited_servers) const {
+  return state_.balancer.AnyServerHolds(
+      MonotonicNow(), state_.directory, needs_.service,
+      {needs_.target.model, {}}, limited_servers);
 }
 
 bool CallerRequest::MayLoadAdapter(
     serving::LimitedServers limited_servers) const {
-  return !needs_.target.adapter.empty() &&
-         state_.balancer.AnyServerHolds(
-             MonotonicNow(), state_.directory, needs_.service,
-             {needs_.target.model, {}}, limited_servers);
+  return !needs_.target.adapter.empty() && AnyServerHoldsModel(limited_servers);
 }
 
 void CallerRequest::RefuseWithoutServer() {
@@ -215,7 +213,7 @@
   serving::MissingTarget missing;
   const serving::ModelSpec* model =
       catalog_->FindModel(needs_.service, needs_.target.model);
-  if (!AnyServerHoldsModel()) {
+  if (!AnyServerHoldsModel(serving::LimitedServers::kInclude)) {
     missing.load_time = model == nullptr ? kDefaultLoadTime : model->load_time;
   }
   if (!needs_.target.model.empty() && !placement_.leader()) {
--- a/apps/edge/server_state.cc
+++ b/apps/edge/server_state.cc
@@ -9,8 +9,7 @@
 
 void ApplyLimit(State& state, const AnsweredCall& call,
                 const std::optional<double>& per_second) {
-  const serving::BackendServer* server = state.directory.Find(call.server);
-  if (server == nullptr || server->started_ms != call.started_ms) {
+  if (!state.directory.IsSameStart(call.server, call.started_ms)) {
     return;  // the server has restarted since, or is gone
   }
   // Servers need not state their limit in reports and answers to orders.
@@ -20,7 +19,7 @@
   const serving::LimitChange change = state.balancer.limits().OnAnswer(
       MonotonicNow(), call.sent, call.server, per_second);
   if (change != serving::LimitChange::kNone) {
-    state.on_limit_stated(call.server, change);
+    state.on_limit_stated(call.server, call.started_ms, change);
   }
 }
 
--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -52,7 +52,9 @@
   std::function<void(const ServerId&, std::int64_t started_ms)>
       on_server_leaving;
   /** An answer has changed or confirmed what is known of a server's limit. */
-  std::function<void(const ServerId&, serving::LimitChange)> on_limit_stated;
+  std::function<void(const ServerId&, std::int64_t started_ms,
+                     serving::LimitChange)>
+      on_limit_stated;
   /** Reports this instance's charges to the peers before the next interval. */
   std::function<void()> send_interim_status;
 };
--- a/libs/serving/include/figwell/serving/directory.h
+++ b/libs/serving/include/figwell/serving/directory.h
@@ -117,6 +117,8 @@
 
   const std::map<ServerId, Entry>& entries() const { return entries_; }
   const BackendServer* Find(const ServerId& id) const;
+  /** Whether the entry is that of a server process started at this time. */
+  bool IsSameStart(const ServerId& id, std::int64_t started_ms) const;
   /** Whether new requests may be sent to the server. */
   bool IsUsable(const ServerId& id) const;
   /** Whether another usable server of the same service holds the model. */
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 
 #include "balancer_times.h"
 #include "figwell/serving/spreading.h"
@@ -237,17 +236,17 @@
   }
   const std::string key =
       std::to_string(needs.prefixes[needs.prefixes.size() - 2].key);
-  std::vector<const BackendServer*> eligible;
-  std::copy_if(candidates.begin(), candidates.end(),
-               std::back_inserter(eligible),
-               [&](const auto* server) { return !limits_.Find(server->id); });
+  const auto is_limited = [&](const BackendServer* server) {
+    return limits_.Find(server->id).has_value();
+  };
   const bool has_local = std::any_of(
-      eligible.begin(), eligible.end(),
-      [&](const auto* server) { return server->domain == own_domain_; });
+      candidates.begin(), candidates.end(), [&](const auto* server) {
+        return server->domain == own_domain_ && !is_limited(server);
+      });
   const BackendServer* preferred = nullptr;
   std::uint64_t max_weight = 0;
-  for (const BackendServer* server : eligible) {
-    if (has_local && server->domain != own_domain_) {
+  for (const BackendServer* server : candidates) {
+    if (is_limited(server) || (has_local && server->domain != own_domain_)) {
       continue;
     }
     const std::uint64_t weight = RendezvousWeight(key, server->id.value());
--- a/libs/serving/src/directory.cc
+++ b/libs/serving/src/directory.cc
@@ -127,6 +127,11 @@
   return found == entries_.end() ? nullptr : &found->second.server;
 }
 
+bool Directory::IsSameStart(const ServerId& id, std::int64_t started_ms) const {
+  const BackendServer* server = Find(id);
+  return server != nullptr && server->started_ms == started_ms;
+}
+
 bool Directory::IsUsable(const ServerId& id) const {
   const BackendServer* server = Find(id);
   return server != nullptr && !server->draining;
--- a/libs/serving/src/permits.cc
+++ b/libs/serving/src/permits.cc
@@ -11,6 +11,11 @@
 // How long a server has to be idle to take a burst at the limit's rate.
 constexpr Duration kBurstPeriod = std::chrono::seconds(1);
 
+// How far ahead of even spacing requests may be sent.
+Duration BurstAllowance(double per_second) {
+  return std::max(Duration{0}, kBurstPeriod - RequestInterval(per_second));
+}
+
 }  // namespace
 
 Duration RequestInterval(double per_second) {
@@ -24,21 +29,19 @@
 TimePoint& PermitScheduler::Next(TimePoint now, const ServerId& server,
                                  double per_second) {
   // A new arbiter does not know what its predecessor has granted: no burst.
-  const Duration burst =
-      std::max(Duration{0}, kBurstPeriod - RequestInterval(per_second));
-  return next_.try_emplace(server, now + burst).first->second;
+  return next_.try_emplace(server, now + BurstAllowance(per_second))
+      .first->second;
 }
 
 Permit PermitScheduler::Request(TimePoint now, const ServerId& server,
                                 double per_second, Duration max_wait) {
-  const Duration interval = RequestInterval(per_second);
-  const Duration burst = std::max(Duration{0}, kBurstPeriod - interval);
   TimePoint& next = Next(now, server, per_second);
-  const Duration wait = std::max(Duration{0}, next - burst - now);
+  const Duration wait =
+      std::max(Duration{0}, next - BurstAllowance(per_second) - now);
   if (wait > max_wait) {
     return {false, wait};
   }
-  next = std::max(next, now) + interval;
+  next = std::max(next, now) + RequestInterval(per_second);
   return {true, wait};
 }
 
