--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -192,8 +192,8 @@
 }
 
 void QuarantineDriver::OnStoreEntry(const serving::LoggedEntry& entry) {
-  const serving::PartSet parts =
-      ParseParts(std::string_view(entry.key).substr(EntriesPrefix().size()));
+  const std::string_view key = entry.key;
+  const serving::PartSet parts = ParseParts(key.substr(EntriesPrefix().size()));
   if (!entry.removed) {
     stored_.insert(parts);
     Add(parts, Source::kStore);
--- a/libs/serving/tests/prompt_quarantine_test.cc
+++ b/libs/serving/tests/prompt_quarantine_test.cc
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-TimePoint At(std::int64_t ms) { return TimePoint(milliseconds(ms)); }
+TimePoint At(int ms) { return TimePoint(milliseconds(ms)); }
 
 constexpr std::uint64_t kSystem = 0xa;
 constexpr std::uint64_t kBad = 0xbad;
