Check the quarantine again after a wait for a permit

A request that waited for a permit of a limited server was sent although its prompt had been quarantined meanwhile: the check came before the wait only. "a request that waits for a permit does not outrun a quarantine" fails before.

Crashes also drop the requests without suspects that are left, so that each answer has less to clear while crashes are remembered.

--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -127,7 +127,9 @@
     StartAttempt();
     return;
   }
-  Send(choice);
+  if (!RefuseIfQuarantined()) {
+    Send(choice);
+  }
 }
 
 bool CallerRequest::RefuseIfAllLimited() {
--- a/libs/serving/src/prompt_quarantine.cc
+++ b/libs/serving/src/prompt_quarantine.cc
@@ -156,6 +156,8 @@
       std::erase_if(request,
                     [&](std::uint64_t part) { return parts.contains(part); });
     }
+    std::erase_if(crash.requests,
+                  [](const PartSet& request) { return request.empty(); });
   }
 }
 
