Count only answers of engines as evidence, and bound the parts of a report

Answers of services without prompts counted as answers to other requests, so that a part could be blamed while no engine answered at all: "answers of services without prompts do not show that engines work" fails before. A prompt with more than about 110 shared parts made a crash report that no datagram holds, and its peers never got it; parts beyond the first 100 are left out.

--- a/fuzz/edge_messages_fuzz.cc
+++ b/fuzz/edge_messages_fuzz.cc
@@ -28,6 +28,8 @@
   TryUnpack<edge::ServerLeavingMessage>(input);
   TryUnpack<edge::ServerLimitMessage>(input);
   TryUnpack<edge::PermitRequestMessage>(input);
+  TryUnpack<edge::ServerCrashMessage>(input);
+  TryUnpack<edge::QuarantineMessage>(input);
   TryUnpack<edge::PermitReplyMessage>(input);
   TryUnpack<edge::AdapterRequestMessage>(input);
   TryUnpack<edge::ChangesRequestMessage>(input);
--- a/libs/serving/include/figwell/serving/prompt_quarantine.h
+++ b/libs/serving/include/figwell/serving/prompt_quarantine.h
@@ -17,9 +17,13 @@
 /** Ids of prompt parts, see PromptPart::id. */
 using PartSet = std::set<std::uint64_t>;
 
+/** Parts of one prompt that are considered; they fit into a datagram. */
+inline constexpr std::size_t kMaxSharedParts = 100;
+
 /**
  * The parts of a prompt that requests share: all but the last one, which
- * belongs to the request or its session. Parts without a valid id are left out.
+ * belongs to the request or its session, and at most kMaxSharedParts. Parts
+ * without a valid id are left out.
  */
 PartSet SharedParts(const std::vector<PromptPart>& parts);
 
@@ -61,8 +65,8 @@
    */
   static constexpr Duration kMinCrashSpan = std::chrono::seconds(1);
   /**
-   * Answers to other requests since the first of these crashes. While all
-   * requests fail, no part is to blame.
+   * Answers to prompts with shared parts since the first of these crashes.
+   * While all of them fail, no part is to blame.
    */
   static constexpr std::uint64_t kMinAnswers = 20;
   /** How long ago the last of these crashes may have been. */
@@ -73,10 +77,9 @@
    * more crash after a quarantine can start the next one.
    */
   static constexpr Duration kCrashRetention = std::chrono::minutes(15);
-  /** Crashes, requests per crash and parts per request that are kept. */
+  /** Crashes, and requests per crash, that are kept. */
   static constexpr std::size_t kMaxCrashes = 64;
   static constexpr std::size_t kMaxRequestsPerCrash = 16;
-  static constexpr std::size_t kMaxParts = 32;
   /** Entries of the quarantine, and parts in one. */
   static constexpr std::size_t kMaxEntries = 256;
   static constexpr std::size_t kMaxEntryParts = 8;
--- a/libs/serving/src/prompt_quarantine.cc
+++ b/libs/serving/src/prompt_quarantine.cc
@@ -27,7 +27,8 @@
 
 PartSet SharedParts(const std::vector<PromptPart>& parts) {
   PartSet shared;
-  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+  for (std::size_t i = 0;
+       i + 1 < parts.size() && shared.size() < kMaxSharedParts; ++i) {
     if (parts[i].id != 0) {
       shared.insert(parts[i].id);
     }
@@ -141,7 +142,7 @@
   }
   Crash& crash = FindOrAddCrash(now, report);
   if (crash.requests.size() < kMaxRequestsPerCrash) {
-    crash.requests.push_back(FirstOf(report.parts, kMaxParts));
+    crash.requests.push_back(FirstOf(report.parts, kMaxSharedParts));
   }
 }
 
@@ -163,6 +164,9 @@
 
 std::vector<PartSet> PromptQuarantine::OnAnswer(TimePoint now,
                                                 const PartSet& parts) {
+  if (parts.empty()) {
+    return {};
+  }
   ++answers_;
   Clear(parts);
   std::vector<PartSet> removed;
--- a/libs/serving/tests/prompt_quarantine_test.cc
+++ b/libs/serving/tests/prompt_quarantine_test.cc
@@ -54,6 +54,16 @@
   CHECK(SharedParts({{1, 10}, {2, 10}, {0, 10}, {3, 10}}) == PartSet{1, 2});
 }
 
+TEST_CASE("a prompt has a bounded number of shared parts") {
+  std::vector<PromptPart> parts;
+  for (std::uint64_t id = 1; id <= 3 * kMaxSharedParts; ++id) {
+    parts.push_back({id, 10});
+  }
+  const PartSet shared = SharedParts(parts);
+  CHECK(shared.size() == kMaxSharedParts);
+  CHECK(*shared.rbegin() == kMaxSharedParts);
+}
+
 TEST_CASE("a part under which several servers crashed is quarantined") {
   PromptQuarantine quarantine;
   CHECK(CrashServers(quarantine) == PartSet{kBad});
@@ -116,6 +126,15 @@
   }
 }
 
+TEST_CASE("answers of services without prompts do not show that engines work") {
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 20; ++i) {
+    quarantine.OnCrash(At(500 * i), Crash(i, {kSystem, 0x10}));
+    Answer(quarantine, At(500 * i), {}, 10);
+    CHECK_FALSE(Evaluate(quarantine, At(500 * i)));
+  }
+}
+
 TEST_CASE("parts that always occur together are refused only together") {
   PromptQuarantine quarantine;
   std::optional<PartSet> quarantined;
