Forget a cut event when a stream starts again from its beginning

After a stream whose events have no ids was broken off at its end if an earlier attempt had been cut inside its first event: the flag was cleared by a numbered event alone. A retry that does not resume starts anew. "a stream without ids is complete after a retry from its start" fails before.

--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -238,6 +238,7 @@
   }
   fields.resume_after = last_event_number_;
   resumes_ = last_event_number_.has_value();
+  event_was_cut_ = event_was_cut_ && resumes_;
   if (sends_ == 0) {
     state_.retries.RecordFirstSend(now, needs_.service);
   }
