Share the delayed call, and what the quarantine logs, announces and retries

RunAfter replaces three copies of a timer that keeps itself alive (registrar, orders, quarantine). In QuarantineDriver two log lines, two announcements and three retries of store calls were written out each; one function serves each kind now.

--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -1,5 +1,6 @@
 #include "log_text.h"
 #include "placement_driver.h"
+#include "run_after.h"
 #include "server_state.h"
 
 namespace figwell::edge {
@@ -152,14 +153,8 @@
   if (outcome == serving::OrderOutcome::kAccepted &&
       order.action == serving::OrderAction::kLoad &&
       !order.target.adapter.empty()) {
-    const auto ready = std::make_shared<boost::asio::steady_timer>(
-        state_.context, kAdapterLoadTime);
-    ready->async_wait(
-        [this, order, ready](const boost::system::error_code& error) {
-          if (!error) {
-            Announce(order.server, order.target, true);
-          }
-        });
+    RunAfter(state_.context, kAdapterLoadTime,
+             [this, order] { Announce(order.server, order.target, true); });
   } else if (order.action == serving::OrderAction::kUnload &&
              outcome != serving::OrderOutcome::kAccepted) {
     // The unload was announced to peers but not executed, so the replica is
--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -1,6 +1,9 @@
 #include "quarantine_driver.h"
 
+#include <fmt/format.h>
+
 #include "log_text.h"
+#include "run_after.h"
 
 namespace figwell::edge {
 namespace {
@@ -48,23 +51,12 @@
   return "unknown";
 }
 
-void QuarantineDriver::RunAfter(Duration delay, std::function<void()> handler) {
-  const auto timer =
-      std::make_shared<boost::asio::steady_timer>(state_.context, delay);
-  timer->async_wait([timer, handler = std::move(handler)](
-                        const boost::system::error_code& error) {
-    if (!error) {
-      handler();
-    }
-  });
-}
-
 // ------------------------------------------------------------------ crashes
 
 void QuarantineDriver::OnBrokenAttempt(const serving::Choice& choice,
                                        const serving::PartSet& parts) {
   if (!parts.empty()) {
-    RunAfter(kCheckDelay,
+    RunAfter(state_.context, kCheckDelay,
              [this, choice, parts] { CheckServer(choice, parts); });
   }
 }
@@ -116,7 +108,7 @@
                   {"started_ms", std::to_string(report.started_ms)},
                   {"parts", PartsText(report.parts)}});
   state_.quarantine.OnCrash(MonotonicNow(), report);
-  RunAfter(serving::PromptQuarantine::kReportTime,
+  RunAfter(state_.context, serving::PromptQuarantine::kReportTime,
            [this, source] { Evaluate(source); });
 }
 
@@ -125,16 +117,14 @@
   if (!parts) {
     return;
   }
-  telemetry::Log(Event::kPromptQuarantined, Name(Source::kOwn),
-                 {{"parts", PartsText(*parts)}});
+  LogEntry(Event::kPromptQuarantined, *parts, Source::kOwn);
   if (source == Source::kOwn) {
-    peers_.Announce(MessageKind::kQuarantine,
-                    QuarantineMessage{{parts->begin(), parts->end()}, true},
-                    std::nullopt);
+    Announce(*parts, true);
     Save(*parts);
     return;
   }
   RunAfter(
+      state_.context,
       Duration(static_cast<std::int64_t>(
           state_.random.Unit() * static_cast<double>(kMaxSaveDelay.count()))),
       [this, parts = *parts] { Save(parts); });
@@ -143,10 +133,8 @@
 void QuarantineDriver::OnAnswer(const serving::PartSet& parts) {
   for (const serving::PartSet& lifted :
        state_.quarantine.OnAnswer(MonotonicNow(), parts)) {
-    LogLifted(lifted, Source::kOwn);
-    peers_.Announce(MessageKind::kQuarantine,
-                    QuarantineMessage{{lifted.begin(), lifted.end()}, false},
-                    std::nullopt);
+    LogEntry(Event::kQuarantineLifted, lifted, Source::kOwn);
+    Announce(lifted, false);
     Erase(lifted);
   }
 }
@@ -155,21 +143,25 @@
 
 void QuarantineDriver::Add(const serving::PartSet& parts, Source source) {
   if (state_.quarantine.Add(MonotonicNow(), parts)) {
-    telemetry::Log(Event::kPromptQuarantined, Name(source),
-                   {{"parts", PartsText(parts)}});
+    LogEntry(Event::kPromptQuarantined, parts, source);
   }
 }
 
 void QuarantineDriver::Remove(const serving::PartSet& parts, Source source) {
   if (state_.quarantine.Remove(parts)) {
-    LogLifted(parts, source);
+    LogEntry(Event::kQuarantineLifted, parts, source);
   }
 }
 
-void QuarantineDriver::LogLifted(const serving::PartSet& parts,
-                                 Source source) const {
-  telemetry::Log(Event::kQuarantineLifted, Name(source),
-                 {{"parts", PartsText(parts)}});
+void QuarantineDriver::LogEntry(Event event, const serving::PartSet& parts,
+                                Source source) {
+  telemetry::Log(event, Name(source), {{"parts", PartsText(parts)}});
+}
+
+void QuarantineDriver::Announce(const serving::PartSet& parts, bool active) {
+  peers_.Announce(MessageKind::kQuarantine,
+                  QuarantineMessage{{parts.begin(), parts.end()}, active},
+                  std::nullopt);
 }
 
 void QuarantineDriver::OnQuarantineMessage(const InstanceId& from,
@@ -202,25 +194,30 @@
   }
 }
 
+void QuarantineDriver::RetryStoreCall(std::string_view call, const Error& error,
+                                      std::function<void()> handler) {
+  telemetry::Log(Event::kDependencyLost,
+                 fmt::format("{} a quarantine failed; will retry: {}", call,
+                             error.message),
+                 {{"dependency", "store"}});
+  RunAfter(state_.context, kStoreRetryInterval, std::move(handler));
+}
+
 void QuarantineDriver::Save(const serving::PartSet& parts) {
   if (stored_.contains(parts) ||
       !state_.quarantine.Contains(MonotonicNow(), parts)) {
     return;
   }
-  store_.GrantLease(
-      std::chrono::duration_cast<milliseconds>(
-          serving::PromptQuarantine::kQuarantineTime),
-      [this, parts](const Result<store::LeaseId>& lease) {
-        if (lease) {
-          WriteEntry(parts, *lease);
-          return;
-        }
-        telemetry::Log(
-            Event::kDependencyLost,
-            "saving a quarantine failed; will retry: " + lease.error().message,
-            {{"dependency", "store"}});
-        RunAfter(kStoreRetryInterval, [this, parts] { Save(parts); });
-      });
+  store_.GrantLease(std::chrono::duration_cast<milliseconds>(
+                        serving::PromptQuarantine::kQuarantineTime),
+                    [this, parts](const Result<store::LeaseId>& lease) {
+                      if (lease) {
+                        WriteEntry(parts, *lease);
+                      } else {
+                        RetryStoreCall("saving", lease.error(),
+                                       [this, parts] { Save(parts); });
+                      }
+                    });
 }
 
 void QuarantineDriver::WriteEntry(const serving::PartSet& parts,
@@ -229,16 +226,12 @@
   // If another instance has written the entry, the lease expires unused.
   change.conditions.push_back({KeyOf(parts), 0});
   change.writes.push_back({KeyOf(parts), PartsText(parts), lease});
-  store_.Commit(
-      change, [this, parts](const Result<adapter::ChangeResult>& result) {
-        if (!result) {
-          telemetry::Log(Event::kDependencyLost,
-                         "saving a quarantine failed; will retry: " +
-                             result.error().message,
-                         {{"dependency", "store"}});
-          RunAfter(kStoreRetryInterval, [this, parts] { Save(parts); });
-        }
-      });
+  store_.Commit(change, [this,
+                         parts](const Result<adapter::ChangeResult>& result) {
+    if (!result) {
+      RetryStoreCall("saving", result.error(), [this, parts] { Save(parts); });
+    }
+  });
 }
 
 void QuarantineDriver::Erase(const serving::PartSet& parts) {
@@ -247,16 +240,13 @@
   }
   adapter::Change change;
   change.removals.push_back(KeyOf(parts));
-  store_.Commit(
-      change, [this, parts](const Result<adapter::ChangeResult>& result) {
-        if (!result) {
-          telemetry::Log(Event::kDependencyLost,
-                         "lifting a quarantine failed; will retry: " +
-                             result.error().message,
-                         {{"dependency", "store"}});
-          RunAfter(kStoreRetryInterval, [this, parts] { Erase(parts); });
-        }
-      });
+  store_.Commit(change,
+                [this, parts](const Result<adapter::ChangeResult>& result) {
+                  if (!result) {
+                    RetryStoreCall("lifting", result.error(),
+                                   [this, parts] { Erase(parts); });
+                  }
+                });
 }
 
 }  // namespace figwell::edge
--- a/apps/edge/quarantine_driver.h
+++ b/apps/edge/quarantine_driver.h
@@ -1,7 +1,7 @@
 #ifndef FIGWELL_APPS_EDGE_QUARANTINE_DRIVER_H_
 #define FIGWELL_APPS_EDGE_QUARANTINE_DRIVER_H_
 
-#include <boost/asio.hpp>
+#include <functional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -50,14 +50,19 @@
   void Evaluate(Source source);
   void Add(const serving::PartSet& parts, Source source);
   void Remove(const serving::PartSet& parts, Source source);
-  void LogLifted(const serving::PartSet& parts, Source source) const;
-  void RunAfter(Duration delay, std::function<void()> handler);
+  static void LogEntry(telemetry::Event event, const serving::PartSet& parts,
+                       Source source);
+  /** Tells the peers that an entry is in force, or no longer is. */
+  void Announce(const serving::PartSet& parts, bool active);
 
   /** Writes an entry to the store, unless it is there or has been lifted. */
   void Save(const serving::PartSet& parts);
   void WriteEntry(const serving::PartSet& parts, store::LeaseId lease);
   /** Removes a lifted entry from the store. */
   void Erase(const serving::PartSet& parts);
+  /** Logs that a call failed, and runs `handler` after a while. */
+  void RetryStoreCall(std::string_view call, const Error& error,
+                      std::function<void()> handler);
   std::string KeyOf(const serving::PartSet& parts) const;
 
   State& state_;
--- a/apps/edge/registrar.cc
+++ b/apps/edge/registrar.cc
@@ -1,5 +1,7 @@
 #include "registrar.h"
 
+#include "run_after.h"
+
 namespace figwell::edge {
 namespace {
 
@@ -94,14 +96,8 @@
         Event::kDependencyLost,
         "revoking a lease failed; will retry: " + revoked.error().message,
         {{"dependency", "store"}});
-    const auto retry = std::make_shared<boost::asio::steady_timer>(
-        state_.context, kRevokeRetryInterval);
-    retry->async_wait(
-        [this, lease, retry](const boost::system::error_code& error) {
-          if (!error) {
-            RevokeLease(lease);
-          }
-        });
+    RunAfter(state_.context, kRevokeRetryInterval,
+             [this, lease] { RevokeLease(lease); });
   });
 }
 
