--- a/apps/edge/log_text.h
+++ b/apps/edge/log_text.h
@@ -3,12 +3,9 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <optional>
 #include <string>
-#include <string_view>
 
 #include "figwell/core.h"
 #include "figwell/serving.h"
@@ -31,23 +28,6 @@
   return fmt::format("{:x}", fmt::join(parts, ","));
 }
 
-/** Parses PartsText; skips what is not an id. */
-inline serving::PartSet ParseParts(std::string_view text) {
-  constexpr int kHexBase = 16;
-  serving::PartSet parts;
-  while (!text.empty()) {
-    const std::string_view id = text.substr(0, text.find(','));
-    std::uint64_t part = 0;
-    const auto [end, error] =
-        std::from_chars(id.data(), id.data() + id.size(), part, kHexBase);
-    if (error == std::errc() && end == id.data() + id.size()) {
-      parts.insert(part);
-    }
-    text.remove_prefix(std::min(text.size(), id.size() + 1));
-  }
-  return parts;
-}
-
 /** Requests per second, for a log field; empty if there is no limit. */
 inline std::string LimitText(const std::optional<double>& per_second) {
   return per_second ? fmt::format("{:g}", *per_second) : "";
--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -2,6 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <charconv>
+
 #include "log_text.h"
 #include "run_after.h"
 
@@ -28,6 +31,23 @@
                         !response.error().timed_out;
 }
 
+// Parses PartsText; skips what is not an id.
+serving::PartSet ParseParts(std::string_view text) {
+  constexpr int kHexBase = 16;
+  serving::PartSet parts;
+  while (!text.empty()) {
+    const std::string_view id = text.substr(0, text.find(','));
+    std::uint64_t part = 0;
+    const auto [end, error] =
+        std::from_chars(id.data(), id.data() + id.size(), part, kHexBase);
+    if (error == std::errc() && end == id.data() + id.size()) {
+      parts.insert(part);
+    }
+    text.remove_prefix(std::min(text.size(), id.size() + 1));
+  }
+  return parts;
+}
+
 }  // namespace
 
 QuarantineDriver::QuarantineDriver(State& state, adapter::StoreClient& store,
