Log a fingerprint of each request that is sent to a server

Cause: for requests without a prompt, the logs could not show whether the same request comes again, nor whether sound requests are like it. Change: attempt_sent and attempt_failed have a hash of team, method, host, target and body.

--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -132,6 +132,9 @@
           serving::ChooseService(*route_, state_.random.Unit())) {
     needs_.service = *service;
   }
+  const http::Request& request = caller_->request();
+  fingerprint_ = serving::RequestFingerprint(team_, request.method, head_.host,
+                                             request.target, request.body);
   needs_.target = head_.target;
   needs_.prompt_tokens = head_.prompt_tokens.value_or(0);
   needs_.output_tokens = head_.output_tokens;
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -153,6 +153,8 @@
   TeamId team_;
   serving::Tokens charged_tokens_ = 0;
   serving::RequestNeeds needs_;
+  /** See serving::RequestFingerprint. */
+  std::uint64_t fingerprint_ = 0;
   /** The shared parts of the prompt; empty if no engine is needed. */
   serving::PartSet shared_parts_;
   boost::asio::steady_timer deadline_timer_;
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -253,6 +253,7 @@
        {"server", choice.server.value()},
        {"target", TargetText(needs_.target)},
        {"prompt", PromptIdText()},
+       {"fingerprint", fmt::format("{:x}", fingerprint_)},
        {"tokens", std::to_string(needs_.prompt_tokens)},
        {"config", std::to_string(catalog_->number())},
        {"expected_ms", Ms(choice.expected)},
@@ -348,6 +349,7 @@
                   {"status", std::to_string(status_)},
                   {"sent_to", std::to_string(sent_to)},
                   {"events", std::to_string(attempt_events_)},
+                  {"fingerprint", fmt::format("{:x}", fingerprint_)},
                   {"parts", PartsText(shared_parts_)},
                   {"next", retry       ? "other_server"
                            : may_retry ? "no_retry_budget"
--- a/libs/serving/include/figwell/serving/prompt_quarantine.h
+++ b/libs/serving/include/figwell/serving/prompt_quarantine.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 #include "figwell/core.h"
@@ -27,6 +28,15 @@
  */
 PartSet SharedParts(const std::vector<PromptPart>& parts);
 
+/**
+ * Identifies a request that comes again: the same team sends the same body to
+ * the same target. Headers do not count. Never 0.
+ * @param target path and query
+ */
+std::uint64_t RequestFingerprint(const TeamId& team, std::string_view method,
+                                 std::string_view host, std::string_view target,
+                                 std::string_view body);
+
 /**
  * A server process ended while a request with these parts was waiting for its
  * answer.
--- a/libs/serving/tests/prompt_quarantine_test.cc
+++ b/libs/serving/tests/prompt_quarantine_test.cc
@@ -54,6 +54,25 @@
   CHECK(SharedParts({{1, 10}, {2, 10}, {0, 10}, {3, 10}}) == PartSet{1, 2});
 }
 
+TEST_CASE("a fingerprint tells requests apart by team, route, path and body") {
+  const auto fingerprint = [](const char* team, const char* method,
+                              const char* host, const char* target,
+                              const char* body) {
+    return RequestFingerprint(TeamId(team), method, host, target, body);
+  };
+  const std::set<std::uint64_t> different = {
+      fingerprint("t", "GET", "h", "/p", ""),
+      fingerprint("u", "GET", "h", "/p", ""),
+      fingerprint("t", "POST", "h", "/p", ""),
+      fingerprint("t", "GET", "i", "/p", ""),
+      fingerprint("t", "GET", "h", "/p?q", ""),
+      fingerprint("t", "GET", "h", "/p", "b"),
+      fingerprint("t", "GET", "h", "/", "pb"),
+      fingerprint("", "GET", "h", "/p", "")};
+  CHECK(different.size() == 8);
+  CHECK(different.contains(fingerprint("t", "GET", "h", "/p", "")));
+}
+
 TEST_CASE("a prompt has a bounded number of shared parts") {
   std::vector<PromptPart> parts;
   for (std::uint64_t id = 1; id <= 3 * kMaxSharedParts; ++id) {
