--- a/apps/edge/log_text.h
+++ b/apps/edge/log_text.h
@@ -24,7 +24,7 @@
 }
 
 /** Ids of prompt parts in hexadecimal, separated by commas. */
-inline std::string PartsText(const serving::PartSet& parts) {
+inline std::string TraitsText(const serving::TraitSet& parts) {
   return fmt::format("{:x}", fmt::join(parts, ","));
 }
 
--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -31,10 +31,10 @@
                         !response.error().timed_out;
 }
 
-// Parses PartsText; skips what is not an id.
-serving::PartSet ParseParts(std::string_view text) {
+// Parses TraitsText; skips what is not an id.
+serving::TraitSet ParseTraits(std::string_view text) {
   constexpr int kHexBase = 16;
-  serving::PartSet parts;
+  serving::TraitSet parts;
   while (!text.empty()) {
     const std::string_view id = text.substr(0, text.find(','));
     std::uint64_t part = 0;
@@ -74,7 +74,7 @@
 // ------------------------------------------------------------------ crashes
 
 void QuarantineDriver::OnBrokenAttempt(const serving::Choice& choice,
-                                       const serving::PartSet& parts) {
+                                       const serving::TraitSet& parts) {
   if (!parts.empty()) {
     RunAfter(state_.context, kCheckDelay,
              [this, choice, parts] { CheckServer(choice, parts); });
@@ -82,7 +82,7 @@
 }
 
 void QuarantineDriver::CheckServer(const serving::Choice& choice,
-                                   const serving::PartSet& parts) {
+                                   const serving::TraitSet& parts) {
   const TimePoint now = MonotonicNow();
   if (!permits_.MayCall(now, choice.server)) {
     return;
@@ -126,9 +126,9 @@
   telemetry::Log(Event::kServerCrashed, Name(source),
                  {{"server", report.server.value()},
                   {"started_ms", std::to_string(report.started_ms)},
-                  {"parts", PartsText(report.parts)}});
+                  {"parts", TraitsText(report.parts)}});
   state_.quarantine.OnCrash(MonotonicNow(), report);
-  RunAfter(state_.context, serving::PromptQuarantine::kReportTime,
+  RunAfter(state_.context, serving::RequestQuarantine::kReportTime,
            [this, source] { Evaluate(source); });
 }
 
@@ -150,8 +150,8 @@
       [this, parts = *parts] { Save(parts); });
 }
 
-void QuarantineDriver::OnAnswer(const serving::PartSet& parts) {
-  for (const serving::PartSet& lifted :
+void QuarantineDriver::OnAnswer(const serving::TraitSet& parts) {
+  for (const serving::TraitSet& lifted :
        state_.quarantine.OnAnswer(MonotonicNow(), parts)) {
     LogEntry(Event::kQuarantineLifted, lifted, Source::kOwn);
     Announce(lifted, false);
@@ -161,24 +161,24 @@
 
 // ------------------------------------------------------------------ entries
 
-void QuarantineDriver::Add(const serving::PartSet& parts, Source source) {
+void QuarantineDriver::Add(const serving::TraitSet& parts, Source source) {
   if (state_.quarantine.Add(MonotonicNow(), parts)) {
     LogEntry(Event::kPromptQuarantined, parts, source);
   }
 }
 
-void QuarantineDriver::Remove(const serving::PartSet& parts, Source source) {
+void QuarantineDriver::Remove(const serving::TraitSet& parts, Source source) {
   if (state_.quarantine.Remove(parts)) {
     LogEntry(Event::kQuarantineLifted, parts, source);
   }
 }
 
-void QuarantineDriver::LogEntry(Event event, const serving::PartSet& parts,
+void QuarantineDriver::LogEntry(Event event, const serving::TraitSet& parts,
                                 Source source) {
-  telemetry::Log(event, Name(source), {{"parts", PartsText(parts)}});
+  telemetry::Log(event, Name(source), {{"parts", TraitsText(parts)}});
 }
 
-void QuarantineDriver::Announce(const serving::PartSet& parts, bool active) {
+void QuarantineDriver::Announce(const serving::TraitSet& parts, bool active) {
   peers_.Announce(MessageKind::kQuarantine,
                   QuarantineMessage{{parts.begin(), parts.end()}, active},
                   std::nullopt);
@@ -186,7 +186,7 @@
 
 void QuarantineDriver::OnQuarantineMessage(const InstanceId& from,
                                            const QuarantineMessage& message) {
-  const serving::PartSet parts(message.parts.begin(), message.parts.end());
+  const serving::TraitSet parts(message.parts.begin(), message.parts.end());
   if (message.active) {
     Add(parts, Source::kPeer);
   } else {
@@ -199,13 +199,14 @@
   return state_.settings.store_prefix + "quarantine/";
 }
 
-std::string QuarantineDriver::KeyOf(const serving::PartSet& parts) const {
-  return EntriesPrefix() + PartsText(parts);
+std::string QuarantineDriver::KeyOf(const serving::TraitSet& parts) const {
+  return EntriesPrefix() + TraitsText(parts);
 }
 
 void QuarantineDriver::OnStoreEntry(const serving::LoggedEntry& entry) {
   const std::string_view key = entry.key;
-  const serving::PartSet parts = ParseParts(key.substr(EntriesPrefix().size()));
+  const serving::TraitSet parts =
+      ParseTraits(key.substr(EntriesPrefix().size()));
   if (!entry.removed) {
     stored_.insert(parts);
     Add(parts, Source::kStore);
@@ -223,13 +224,13 @@
   RunAfter(state_.context, kStoreRetryInterval, std::move(handler));
 }
 
-void QuarantineDriver::Save(const serving::PartSet& parts) {
+void QuarantineDriver::Save(const serving::TraitSet& parts) {
   if (stored_.contains(parts) ||
       !state_.quarantine.Contains(MonotonicNow(), parts)) {
     return;
   }
   store_.GrantLease(std::chrono::duration_cast<milliseconds>(
-                        serving::PromptQuarantine::kQuarantineTime),
+                        serving::RequestQuarantine::kQuarantineTime),
                     [this, parts](const Result<store::LeaseId>& lease) {
                       if (lease) {
                         WriteEntry(parts, *lease);
@@ -240,12 +241,12 @@
                     });
 }
 
-void QuarantineDriver::WriteEntry(const serving::PartSet& parts,
+void QuarantineDriver::WriteEntry(const serving::TraitSet& parts,
                                   store::LeaseId lease) {
   adapter::Change change;
   // If another instance has written the entry, the lease expires unused.
   change.conditions.push_back({KeyOf(parts), 0});
-  change.writes.push_back({KeyOf(parts), PartsText(parts), lease});
+  change.writes.push_back({KeyOf(parts), TraitsText(parts), lease});
   store_.Commit(change, [this,
                          parts](const Result<adapter::ChangeResult>& result) {
     if (!result) {
@@ -254,7 +255,7 @@
   });
 }
 
-void QuarantineDriver::Erase(const serving::PartSet& parts) {
+void QuarantineDriver::Erase(const serving::TraitSet& parts) {
   if (state_.quarantine.Contains(MonotonicNow(), parts)) {
     return;  // it is in quarantine again
   }
--- a/apps/edge/quarantine_driver.h
+++ b/apps/edge/quarantine_driver.h
@@ -27,9 +27,9 @@
    * server process has ended.
    */
   void OnBrokenAttempt(const serving::Choice& choice,
-                       const serving::PartSet& parts);
+                       const serving::TraitSet& parts);
   /** The answer to a request with these parts is under way. */
-  void OnAnswer(const serving::PartSet& parts);
+  void OnAnswer(const serving::TraitSet& parts);
   void OnCrashMessage(const InstanceId& from,
                       const ServerCrashMessage& message);
   void OnQuarantineMessage(const InstanceId& from,
@@ -45,25 +45,25 @@
   static std::string_view Name(Source source);
 
   void CheckServer(const serving::Choice& choice,
-                   const serving::PartSet& parts);
+                   const serving::TraitSet& parts);
   void OnCrash(const serving::CrashReport& report, Source source);
   void Evaluate(Source source);
-  void Add(const serving::PartSet& parts, Source source);
-  void Remove(const serving::PartSet& parts, Source source);
-  static void LogEntry(telemetry::Event event, const serving::PartSet& parts,
+  void Add(const serving::TraitSet& parts, Source source);
+  void Remove(const serving::TraitSet& parts, Source source);
+  static void LogEntry(telemetry::Event event, const serving::TraitSet& parts,
                        Source source);
   /** Tells the peers that an entry is in force, or no longer is. */
-  void Announce(const serving::PartSet& parts, bool active);
+  void Announce(const serving::TraitSet& parts, bool active);
 
   /** Writes an entry to the store, unless it is there or has been lifted. */
-  void Save(const serving::PartSet& parts);
-  void WriteEntry(const serving::PartSet& parts, store::LeaseId lease);
+  void Save(const serving::TraitSet& parts);
+  void WriteEntry(const serving::TraitSet& parts, store::LeaseId lease);
   /** Removes a lifted entry from the store. */
-  void Erase(const serving::PartSet& parts);
+  void Erase(const serving::TraitSet& parts);
   /** Logs that a call failed, and runs `handler` after a while. */
   void RetryStoreCall(std::string_view call, const Error& error,
                       std::function<void()> handler);
-  std::string KeyOf(const serving::PartSet& parts) const;
+  std::string KeyOf(const serving::TraitSet& parts) const;
 
   State& state_;
   adapter::StoreClient& store_;
@@ -71,7 +71,7 @@
   PeerGroup& peers_;
   PermitClient& permits_;
   /** Entries that the store holds, as last seen. */
-  std::set<serving::PartSet> stored_;
+  std::set<serving::TraitSet> stored_;
 };
 
 }  // namespace figwell::edge
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -156,7 +156,7 @@
   /** See serving::RequestFingerprint. */
   std::uint64_t fingerprint_ = 0;
   /** The shared parts of the prompt; empty if no engine is needed. */
-  serving::PartSet shared_parts_;
+  serving::TraitSet shared_parts_;
   boost::asio::steady_timer deadline_timer_;
   boost::asio::steady_timer adapter_timer_;
   boost::asio::steady_timer permit_timer_;
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -69,7 +69,7 @@
   if (!end) {
     return false;
   }
-  const std::string detail = "parts " + PartsText(shared_parts_);
+  const std::string detail = "parts " + TraitsText(shared_parts_);
   if (may_have_run_) {
     FailRequest(adapter::FailureReason::kBroken, detail);
   } else {
@@ -350,7 +350,7 @@
                   {"sent_to", std::to_string(sent_to)},
                   {"events", std::to_string(attempt_events_)},
                   {"fingerprint", fmt::format("{:x}", fingerprint_)},
-                  {"parts", PartsText(shared_parts_)},
+                  {"parts", TraitsText(shared_parts_)},
                   {"next", retry       ? "other_server"
                            : may_retry ? "no_retry_budget"
                                        : "none"}});
--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -40,7 +40,7 @@
   serving::RetryBudget retries;
   serving::DemandMeter demand;
   serving::BufferBudget answer_buffers;
-  serving::PromptQuarantine quarantine;
+  serving::RequestQuarantine quarantine;
   /** Instances in the whole system, this one included. */
   std::size_t instances = 1;
   Random random;
--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -18,7 +18,7 @@
  *   server_limits.h       ServerLimits: request rates that servers accept
  *   team_rate_limiter.h   TeamRateLimiter: rates and bursts of teams
  *   summary.h             DomainSummary: sums of the reports of a domain
- *   prompt_quarantine.h   PromptQuarantine: prompts that crash servers
+ *   request_quarantine.h   RequestQuarantine: prompts that crash servers
  *   attempts.h            MayRetry, RetryBudget: retries of failed attempts
  *   leadership.h          PlacementLease: which instance sends orders
  *   permits.h             PermitScheduler: requests to servers with a limit
@@ -46,9 +46,9 @@
 #include "figwell/serving/permits.h"
 #include "figwell/serving/placement_servers.h"
 #include "figwell/serving/prefill_wait.h"
-#include "figwell/serving/prompt_quarantine.h"
 #include "figwell/serving/replica_history.h"
 #include "figwell/serving/replicas.h"
+#include "figwell/serving/request_quarantine.h"
 #include "figwell/serving/server_limits.h"
 #include "figwell/serving/spreading.h"
 #include "figwell/serving/summary.h"
--- a/libs/serving/include/figwell/serving/prompt_quarantine.h
+++ b/libs/serving/include/figwell/serving/request_quarantine.h
@@ -1,5 +1,5 @@
-#ifndef FIGWELL_SERVING_PROMPT_QUARANTINE_H_
-#define FIGWELL_SERVING_PROMPT_QUARANTINE_H_
+#ifndef FIGWELL_SERVING_REQUEST_QUARANTINE_H_
+#define FIGWELL_SERVING_REQUEST_QUARANTINE_H_
 
 /** Refuses prompts under which server after server crashes; see serving.h. */
 
@@ -16,7 +16,7 @@
 namespace figwell::serving {
 
 /** Ids of prompt parts, see PromptPart::id. */
-using PartSet = std::set<std::uint64_t>;
+using TraitSet = std::set<std::uint64_t>;
 
 /** Parts of one prompt that are considered; they fit into a datagram. */
 inline constexpr std::size_t kMaxSharedParts = 100;
@@ -26,7 +26,7 @@
  * belongs to the request or its session, and at most kMaxSharedParts. Parts
  * without a valid id are left out.
  */
-PartSet SharedParts(const std::vector<PromptPart>& parts);
+TraitSet SharedParts(const std::vector<PromptPart>& parts);
 
 /**
  * Identifies a request that comes again: the same team sends the same body to
@@ -45,7 +45,7 @@
   ServerId server;
   /** BackendServer::started_ms of the process. */
   std::int64_t started_ms = 0;
-  PartSet parts;
+  TraitSet parts;
 
   friend bool operator==(const CrashReport&, const CrashReport&) = default;
 };
@@ -58,7 +58,7 @@
  * be refused. Parts that always occur together are quarantined together, and
  * only requests with all of them are refused.
  */
-class PromptQuarantine {
+class RequestQuarantine {
  public:
   /**
    * Crashes of which a part has to be a suspect, and their share in all crashes
@@ -99,22 +99,22 @@
    * Attributes the crashes that happened at least kReportTime ago.
    * @return the parts that are quarantined from now on, if any
    */
-  std::optional<PartSet> Evaluate(TimePoint now);
+  std::optional<TraitSet> Evaluate(TimePoint now);
   /**
    * A request with these parts was answered.
    * @return entries of the quarantine that were wrong and have been removed
    */
-  std::vector<PartSet> OnAnswer(TimePoint now, const PartSet& parts);
+  std::vector<TraitSet> OnAnswer(TimePoint now, const TraitSet& parts);
 
   /** Adds an entry from elsewhere. @return whether it is new */
-  bool Add(TimePoint now, const PartSet& parts);
+  bool Add(TimePoint now, const TraitSet& parts);
   /** Lifts a quarantine. @return whether the entry existed */
-  bool Remove(const PartSet& parts);
-  bool Contains(TimePoint now, const PartSet& parts) const;
+  bool Remove(const TraitSet& parts);
+  bool Contains(TimePoint now, const TraitSet& parts) const;
 
   /** When the quarantine of a request with these parts ends, if it is in one.
    */
-  std::optional<TimePoint> FindEnd(TimePoint now, const PartSet& parts) const;
+  std::optional<TimePoint> FindEnd(TimePoint now, const TraitSet& parts) const;
   std::size_t size() const { return entries_.size(); }
 
  private:
@@ -125,7 +125,7 @@
     /** Value of `answers_` at the time. */
     std::uint64_t answers_before = 0;
     /** The suspects: the parts of each request that was waiting. */
-    std::vector<PartSet> requests;
+    std::vector<TraitSet> requests;
   };
 
   /** The crashes of which each part is a suspect, in order of time. */
@@ -140,18 +140,18 @@
   /** Whether `crashes` suffice to quarantine a suspect of all of them. */
   bool IsEvidence(TimePoint now, const std::vector<const Crash*>& crashes,
                   const std::vector<const Crash*>& all) const;
-  std::optional<PartSet> FindCulprits(TimePoint now) const;
+  std::optional<TraitSet> FindCulprits(TimePoint now) const;
   /** The parts are no suspects of the crashes so far. */
-  void Clear(const PartSet& parts);
+  void Clear(const TraitSet& parts);
   void DropOutdated(TimePoint now);
 
   /** In order of time. */
   std::vector<Crash> crashes_;
   /** End of the quarantine of each entry. */
-  std::map<PartSet, TimePoint> entries_;
+  std::map<TraitSet, TimePoint> entries_;
   std::uint64_t answers_ = 0;
 };
 
 }  // namespace figwell::serving
 
-#endif  // FIGWELL_SERVING_PROMPT_QUARANTINE_H_
+#endif  // FIGWELL_SERVING_REQUEST_QUARANTINE_H_
--- a/libs/serving/src/prompt_quarantine.cc
+++ b/libs/serving/src/request_quarantine.cc
@@ -1,4 +1,4 @@
-#include "figwell/serving/prompt_quarantine.h"
+#include "figwell/serving/request_quarantine.h"
 
 #include <algorithm>
 #include <iterator>
@@ -6,18 +6,19 @@
 namespace figwell::serving {
 namespace {
 
-bool Includes(const PartSet& parts, const PartSet& subset) {
+bool Includes(const TraitSet& parts, const TraitSet& subset) {
   return std::includes(parts.begin(), parts.end(), subset.begin(),
                        subset.end());
 }
 
-bool AnyIncludes(const std::vector<PartSet>& requests, const PartSet& subset) {
+bool AnyIncludes(const std::vector<TraitSet>& requests,
+                 const TraitSet& subset) {
   return std::any_of(
       requests.begin(), requests.end(),
-      [&](const PartSet& parts) { return Includes(parts, subset); });
+      [&](const TraitSet& parts) { return Includes(parts, subset); });
 }
 
-PartSet FirstOf(const PartSet& parts, std::size_t count) {
+TraitSet FirstOf(const TraitSet& parts, std::size_t count) {
   return {parts.begin(),
           std::next(parts.begin(), static_cast<std::ptrdiff_t>(
                                        std::min(count, parts.size())))};
@@ -25,8 +26,8 @@
 
 }  // namespace
 
-PartSet SharedParts(const std::vector<PromptPart>& parts) {
-  PartSet shared;
+TraitSet SharedParts(const std::vector<PromptPart>& parts) {
+  TraitSet shared;
   for (std::size_t i = 0;
        i + 1 < parts.size() && shared.size() < kMaxSharedParts; ++i) {
     if (parts[i].id != 0) {
@@ -47,7 +48,7 @@
   return std::max<std::uint64_t>(hash, 1);
 }
 
-PromptQuarantine::Crash& PromptQuarantine::FindOrAddCrash(
+RequestQuarantine::Crash& RequestQuarantine::FindOrAddCrash(
     TimePoint now, const CrashReport& report) {
   const auto found =
       std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& crash) {
@@ -64,21 +65,21 @@
   return crashes_.back();
 }
 
-void PromptQuarantine::DropOutdated(TimePoint now) {
+void RequestQuarantine::DropOutdated(TimePoint now) {
   std::erase_if(crashes_, [&](const Crash& crash) {
     return now - crash.at >= kCrashRetention;
   });
   std::erase_if(entries_, [&](const auto& item) { return item.second <= now; });
 }
 
-bool PromptQuarantine::IsExplained(TimePoint now, const Crash& crash) const {
+bool RequestQuarantine::IsExplained(TimePoint now, const Crash& crash) const {
   return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
     return item.second > now && AnyIncludes(crash.requests, item.first);
   });
 }
 
-std::vector<const PromptQuarantine::Crash*>
-PromptQuarantine::UnexplainedCrashes(TimePoint now) const {
+std::vector<const RequestQuarantine::Crash*>
+RequestQuarantine::UnexplainedCrashes(TimePoint now) const {
   std::vector<const Crash*> unexplained;
   for (const Crash& crash : crashes_) {
     if (now - crash.at >= kReportTime && !IsExplained(now, crash)) {
@@ -88,12 +89,12 @@
   return unexplained;
 }
 
-PromptQuarantine::CrashesOfParts PromptQuarantine::GroupByPart(
+RequestQuarantine::CrashesOfParts RequestQuarantine::GroupByPart(
     const std::vector<const Crash*>& crashes) {
   CrashesOfParts crashes_of;
   for (const Crash* crash : crashes) {
-    PartSet suspects;
-    for (const PartSet& request : crash->requests) {
+    TraitSet suspects;
+    for (const TraitSet& request : crash->requests) {
       suspects.insert(request.begin(), request.end());
     }
     for (const std::uint64_t part : suspects) {
@@ -103,9 +104,9 @@
   return crashes_of;
 }
 
-bool PromptQuarantine::IsEvidence(TimePoint now,
-                                  const std::vector<const Crash*>& crashes,
-                                  const std::vector<const Crash*>& all) const {
+bool RequestQuarantine::IsEvidence(TimePoint now,
+                                   const std::vector<const Crash*>& crashes,
+                                   const std::vector<const Crash*>& all) const {
   const Crash& first = *crashes.front();
   const Crash& last = *crashes.back();
   const auto between =
@@ -119,7 +120,7 @@
              kMinCrashShare * static_cast<double>(between);
 }
 
-std::optional<PartSet> PromptQuarantine::FindCulprits(TimePoint now) const {
+std::optional<TraitSet> RequestQuarantine::FindCulprits(TimePoint now) const {
   const std::vector<const Crash*> all = UnexplainedCrashes(now);
   const CrashesOfParts crashes_of = GroupByPart(all);
   const auto worst = std::max_element(
@@ -130,7 +131,7 @@
     return std::nullopt;
   }
   const std::vector<const Crash*>& crashes = worst->second;
-  PartSet culprits;
+  TraitSet culprits;
   for (const auto& [part, others] : crashes_of) {
     if (others == crashes) {
       culprits.insert(part);
@@ -146,7 +147,7 @@
                         : std::nullopt;
 }
 
-void PromptQuarantine::OnCrash(TimePoint now, const CrashReport& report) {
+void RequestQuarantine::OnCrash(TimePoint now, const CrashReport& report) {
   DropOutdated(now);
   if (report.parts.empty()) {
     return;
@@ -157,42 +158,42 @@
   }
 }
 
-std::optional<PartSet> PromptQuarantine::Evaluate(TimePoint now) {
+std::optional<TraitSet> RequestQuarantine::Evaluate(TimePoint now) {
   const auto culprits = FindCulprits(now);
   return culprits && Add(now, *culprits) ? culprits : std::nullopt;
 }
 
-void PromptQuarantine::Clear(const PartSet& parts) {
+void RequestQuarantine::Clear(const TraitSet& parts) {
   for (Crash& crash : crashes_) {
-    for (PartSet& request : crash.requests) {
+    for (TraitSet& request : crash.requests) {
       std::erase_if(request,
                     [&](std::uint64_t part) { return parts.contains(part); });
     }
     std::erase_if(crash.requests,
-                  [](const PartSet& request) { return request.empty(); });
+                  [](const TraitSet& request) { return request.empty(); });
   }
 }
 
-std::vector<PartSet> PromptQuarantine::OnAnswer(TimePoint now,
-                                                const PartSet& parts) {
+std::vector<TraitSet> RequestQuarantine::OnAnswer(TimePoint now,
+                                                  const TraitSet& parts) {
   if (parts.empty()) {
     return {};
   }
   ++answers_;
   Clear(parts);
-  std::vector<PartSet> removed;
+  std::vector<TraitSet> removed;
   for (const auto& [entry, end] : entries_) {
     if (end > now && Includes(parts, entry)) {
       removed.push_back(entry);
     }
   }
-  for (const PartSet& entry : removed) {
+  for (const TraitSet& entry : removed) {
     entries_.erase(entry);
   }
   return removed;
 }
 
-bool PromptQuarantine::Add(TimePoint now, const PartSet& parts) {
+bool RequestQuarantine::Add(TimePoint now, const TraitSet& parts) {
   DropOutdated(now);
   if (parts.empty() || parts.size() > kMaxEntryParts ||
       entries_.size() >= kMaxEntries) {
@@ -201,18 +202,18 @@
   return entries_.emplace(parts, now + kQuarantineTime).second;
 }
 
-bool PromptQuarantine::Remove(const PartSet& parts) {
+bool RequestQuarantine::Remove(const TraitSet& parts) {
   Clear(parts);
   return entries_.erase(parts) > 0;
 }
 
-bool PromptQuarantine::Contains(TimePoint now, const PartSet& parts) const {
+bool RequestQuarantine::Contains(TimePoint now, const TraitSet& parts) const {
   const auto found = entries_.find(parts);
   return found != entries_.end() && found->second > now;
 }
 
-std::optional<TimePoint> PromptQuarantine::FindEnd(TimePoint now,
-                                                   const PartSet& parts) const {
+std::optional<TimePoint> RequestQuarantine::FindEnd(
+    TimePoint now, const TraitSet& parts) const {
   std::optional<TimePoint> last;
   for (const auto& [entry, end] : entries_) {
     if (end > now && Includes(parts, entry)) {
--- a/libs/serving/tests/prompt_quarantine_load_test.cc
+++ b/libs/serving/tests/request_quarantine_load_test.cc
@@ -3,7 +3,7 @@
 
 #include <deque>
 
-#include "figwell/serving/prompt_quarantine.h"
+#include "figwell/serving/request_quarantine.h"
 #include "figwell/testing.h"
 
 namespace figwell::serving {
@@ -29,7 +29,7 @@
   TimePoint answered_at;
   std::size_t instance = 0;
   std::uint64_t server = 0;
-  PartSet parts;
+  TraitSet parts;
 };
 
 class Fleet {
@@ -37,7 +37,7 @@
   explicit Fleet(std::uint64_t seed) : random_(seed) {}
 
   // Sends a request to a random server, unless its instance refuses it.
-  void Send(const PartSet& parts) {
+  void Send(const TraitSet& parts) {
     const std::size_t instance = random_.Below(kInstances);
     if (instances_[instance].FindEnd(now_, parts)) {
       ++refused_;
@@ -60,7 +60,7 @@
         others.push_back(request);
         continue;
       }
-      for (PromptQuarantine& instance : instances_) {
+      for (RequestQuarantine& instance : instances_) {
         instance.OnCrash(
             now_, {ServerId(std::to_string(server)), start, request.parts});
       }
@@ -77,16 +77,16 @@
         continue;
       }
       running_.pop_front();
-      for (const PartSet& lifted :
+      for (const TraitSet& lifted :
            instances_[request.instance].OnAnswer(now_, request.parts)) {
-        for (PromptQuarantine& other : instances_) {
+        for (RequestQuarantine& other : instances_) {
           other.Remove(lifted);
         }
       }
     }
-    for (PromptQuarantine& instance : instances_) {
+    for (RequestQuarantine& instance : instances_) {
       if (const auto parts = instance.Evaluate(now_)) {
-        for (PromptQuarantine& other : instances_) {
+        for (RequestQuarantine& other : instances_) {
           other.Add(now_, *parts);
         }
       }
@@ -97,7 +97,7 @@
     return random_.Unit() <
            per_second * std::chrono::duration<double>(kTick).count();
   }
-  PartSet Topic() { return {kSystem, kFirstTopic + random_.Below(kTopics)}; }
+  TraitSet Topic() { return {kSystem, kFirstTopic + random_.Below(kTopics)}; }
   std::uint64_t AnyServer() { return random_.Below(kServers); }
   TimePoint now() const { return now_; }
   const std::vector<TimePoint>& bad_sent() const { return bad_sent_; }
@@ -109,7 +109,7 @@
 
   Random random_;
   TimePoint now_{};
-  std::array<PromptQuarantine, kInstances> instances_;
+  std::array<RequestQuarantine, kInstances> instances_;
   std::deque<Request> running_;
   std::vector<TimePoint> bad_sent_;
   std::size_t refused_ = 0;
@@ -133,7 +133,7 @@
       fleet.Send(fleet.Topic());
     }
     if (fleet.now() >= TimePoint(seconds(10)) && fleet.Happens(load.bad)) {
-      PartSet parts = fleet.Topic();
+      TraitSet parts = fleet.Topic();
       parts.insert(kBad);
       fleet.Send(parts);
     }
--- a/libs/serving/tests/prompt_quarantine_test.cc
+++ b/libs/serving/tests/request_quarantine_test.cc
@@ -1,4 +1,4 @@
-#include "figwell/serving/prompt_quarantine.h"
+#include "figwell/serving/request_quarantine.h"
 
 #include <string>
 
@@ -14,13 +14,13 @@
 
 constexpr std::uint64_t kSystem = 0xa;
 constexpr std::uint64_t kBad = 0xbad;
-constexpr int kCrashes = static_cast<int>(PromptQuarantine::kMinCrashes);
+constexpr int kCrashes = static_cast<int>(RequestQuarantine::kMinCrashes);
 
-CrashReport Crash(int server, PartSet parts, std::int64_t started_ms = 1) {
+CrashReport Crash(int server, TraitSet parts, std::int64_t started_ms = 1) {
   return {ServerId(std::to_string(server)), started_ms, std::move(parts)};
 }
 
-void Answer(PromptQuarantine& quarantine, TimePoint now, const PartSet& parts,
+void Answer(RequestQuarantine& quarantine, TimePoint now, const TraitSet& parts,
             std::uint64_t times) {
   for (std::uint64_t i = 0; i < times; ++i) {
     CHECK(quarantine.OnAnswer(now, parts).empty());
@@ -28,15 +28,15 @@
 }
 
 // Evaluates once all reports of a crash at `now` have arrived.
-std::optional<PartSet> Evaluate(PromptQuarantine& quarantine, TimePoint now) {
+std::optional<TraitSet> Evaluate(RequestQuarantine& quarantine, TimePoint now) {
   CHECK_FALSE(quarantine.Evaluate(now));
-  return quarantine.Evaluate(now + PromptQuarantine::kReportTime);
+  return quarantine.Evaluate(now + RequestQuarantine::kReportTime);
 }
 
 // Enough crashes under kBad, a second apart; requests with the other parts
 // are answered in between.
-std::optional<PartSet> CrashServers(PromptQuarantine& quarantine) {
-  std::optional<PartSet> quarantined;
+std::optional<TraitSet> CrashServers(RequestQuarantine& quarantine) {
+  std::optional<TraitSet> quarantined;
   for (int i = 0; i < kCrashes; ++i) {
     CHECK_FALSE(quarantined);
     const TimePoint now = At(1'000 * i);
@@ -51,7 +51,7 @@
 TEST_CASE("the last part of a prompt is not shared") {
   CHECK(SharedParts({}).empty());
   CHECK(SharedParts({{1, 10}}).empty());
-  CHECK(SharedParts({{1, 10}, {2, 10}, {0, 10}, {3, 10}}) == PartSet{1, 2});
+  CHECK(SharedParts({{1, 10}, {2, 10}, {0, 10}, {3, 10}}) == TraitSet{1, 2});
 }
 
 TEST_CASE("a fingerprint tells requests apart by team, route, path and body") {
@@ -78,20 +78,20 @@
   for (std::uint64_t id = 1; id <= 3 * kMaxSharedParts; ++id) {
     parts.push_back({id, 10});
   }
-  const PartSet shared = SharedParts(parts);
+  const TraitSet shared = SharedParts(parts);
   CHECK(shared.size() == kMaxSharedParts);
   CHECK(*shared.rbegin() == kMaxSharedParts);
 }
 
 TEST_CASE("a part under which several servers crashed is quarantined") {
-  PromptQuarantine quarantine;
-  CHECK(CrashServers(quarantine) == PartSet{kBad});
+  RequestQuarantine quarantine;
+  CHECK(CrashServers(quarantine) == TraitSet{kBad});
   CHECK(quarantine.FindEnd(At(4'000), {kSystem, kBad, 0x17}));
   CHECK_FALSE(quarantine.FindEnd(At(4'000), {kSystem, 0x10}));
 }
 
 TEST_CASE("a part of a minority of the crashes is not quarantined") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   for (int i = 0; i < 30; ++i) {
     const std::uint64_t part =
         i % 3 == 0 ? kBad : 0x100U + static_cast<std::uint64_t>(i);
@@ -102,14 +102,14 @@
 }
 
 TEST_CASE("an entry that was lifted elsewhere does not return by itself") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   CrashServers(quarantine);
   CHECK(quarantine.Remove({kBad}));
   CHECK_FALSE(Evaluate(quarantine, At(5'000)));
 }
 
 TEST_CASE("several reports of one crash count once") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   for (int i = 0; i < 5; ++i) {
     quarantine.OnCrash(At(1'000 * i), Crash(0, {kSystem, kBad}));
     Answer(quarantine, At(1'000 * i), {kSystem}, 10);
@@ -118,18 +118,18 @@
 }
 
 TEST_CASE("each start of a server can crash once") {
-  PromptQuarantine quarantine;
-  std::optional<PartSet> quarantined;
+  RequestQuarantine quarantine;
+  std::optional<TraitSet> quarantined;
   for (int i = 0; i < kCrashes; ++i) {
     quarantine.OnCrash(At(1'000 * i), Crash(0, {kBad}, i));
     Answer(quarantine, At(1'000 * i), {kSystem}, 10);
     quarantined = Evaluate(quarantine, At(1'000 * i));
   }
-  CHECK(quarantined == PartSet{kBad});
+  CHECK(quarantined == TraitSet{kBad});
 }
 
 TEST_CASE("servers that fail together are not evidence against a part") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   Answer(quarantine, At(0), {kSystem}, 100);
   for (int i = 0; i < 20; ++i) {
     quarantine.OnCrash(At(i), Crash(i, {kSystem, 0x10}));
@@ -138,7 +138,7 @@
 }
 
 TEST_CASE("no part is to blame while no request is answered") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   for (int i = 0; i < 20; ++i) {
     quarantine.OnCrash(At(500 * i), Crash(i, {kSystem, 0x10}));
     CHECK_FALSE(Evaluate(quarantine, At(500 * i)));
@@ -146,7 +146,7 @@
 }
 
 TEST_CASE("answers of services without prompts do not show that engines work") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   for (int i = 0; i < 20; ++i) {
     quarantine.OnCrash(At(500 * i), Crash(i, {kSystem, 0x10}));
     Answer(quarantine, At(500 * i), {}, 10);
@@ -155,21 +155,21 @@
 }
 
 TEST_CASE("parts that always occur together are refused only together") {
-  PromptQuarantine quarantine;
-  std::optional<PartSet> quarantined;
+  RequestQuarantine quarantine;
+  std::optional<TraitSet> quarantined;
   for (int i = 0; i < kCrashes; ++i) {
     quarantine.OnCrash(At(1'000 * i), Crash(i, {kSystem, kBad}));
     Answer(quarantine, At(1'000 * i), {0x20}, 10);
     quarantined = Evaluate(quarantine, At(1'000 * i));
   }
-  CHECK(quarantined == PartSet{kSystem, kBad});
+  CHECK(quarantined == TraitSet{kSystem, kBad});
   CHECK(quarantine.FindEnd(At(4'000), {kSystem, kBad, 0x30}));
   CHECK_FALSE(quarantine.FindEnd(At(4'000), {kSystem, 0x30}));
   CHECK_FALSE(quarantine.FindEnd(At(4'000), {kBad}));
 }
 
 TEST_CASE("parts of different requests at one server are told apart") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   for (int i = 0; i < kCrashes; ++i) {
     quarantine.OnCrash(At(1'000 * i), Crash(i, {0x40}));
     quarantine.OnCrash(At(1'000 * i), Crash(i, {kBad}));
@@ -177,53 +177,53 @@
     CHECK_FALSE(Evaluate(quarantine, At(1'000 * i)));
   }
   quarantine.OnCrash(At(5'000), Crash(kCrashes, {kBad}));
-  CHECK(Evaluate(quarantine, At(5'000)) == PartSet{kBad});
+  CHECK(Evaluate(quarantine, At(5'000)) == TraitSet{kBad});
 }
 
 TEST_CASE("an answer to a request with the part lifts its quarantine") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   CrashServers(quarantine);
   CHECK(quarantine.OnAnswer(At(4'100), {kSystem}).empty());
   CHECK(quarantine.OnAnswer(At(4'100), {kSystem, kBad}) ==
-        std::vector<PartSet>{{kBad}});
+        std::vector<TraitSet>{{kBad}});
   CHECK_FALSE(quarantine.FindEnd(At(4'100), {kBad}));
 }
 
 TEST_CASE("one more crash after a quarantine starts the next one") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   CrashServers(quarantine);
   const TimePoint end = *quarantine.FindEnd(At(4'000), {kBad});
-  CHECK(end >= At(3'000) + PromptQuarantine::kQuarantineTime);
+  CHECK(end >= At(3'000) + RequestQuarantine::kQuarantineTime);
   CHECK_FALSE(quarantine.FindEnd(end, {kBad}));
   quarantine.OnCrash(end + seconds(5), Crash(9, {kBad}));
-  CHECK(Evaluate(quarantine, end + seconds(5)) == PartSet{kBad});
+  CHECK(Evaluate(quarantine, end + seconds(5)) == TraitSet{kBad});
 }
 
 TEST_CASE("a second part is found while the first one is in quarantine") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   CrashServers(quarantine);
-  std::optional<PartSet> quarantined;
+  std::optional<TraitSet> quarantined;
   for (int i = 0; i < kCrashes; ++i) {
     const TimePoint now = At(50'000 + 1'000 * i);
     quarantine.OnCrash(now, Crash(100 + i, {0xdead}));
     Answer(quarantine, now, {kSystem}, 10);
     quarantined = Evaluate(quarantine, now);
   }
-  CHECK(quarantined == PartSet{0xdead});
+  CHECK(quarantined == TraitSet{0xdead});
   CHECK(quarantine.size() == 2);
 }
 
 TEST_CASE("entries from elsewhere are bounded and removable") {
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   CHECK_FALSE(quarantine.Add(At(0), {}));
   CHECK(quarantine.Add(At(0), {kBad}));
   CHECK_FALSE(quarantine.Add(At(1), {kBad}));
   CHECK(quarantine.Remove({kBad}));
   CHECK_FALSE(quarantine.Remove({kBad}));
-  for (std::uint64_t i = 1; i <= 2 * PromptQuarantine::kMaxEntries; ++i) {
+  for (std::uint64_t i = 1; i <= 2 * RequestQuarantine::kMaxEntries; ++i) {
     quarantine.Add(At(0), {i});
   }
-  CHECK(quarantine.size() == PromptQuarantine::kMaxEntries);
+  CHECK(quarantine.size() == RequestQuarantine::kMaxEntries);
 }
 
 }  // namespace
