--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -95,6 +95,11 @@
         quarantine_.OnCrashMessage(from, *crash);
       }
       return;
+    case MessageKind::kSuspectRequest:
+      if (const auto suspect = peers::Unpack<SuspectRequestMessage>(bytes)) {
+        quarantine_.OnSuspectMessage(from, *suspect);
+      }
+      return;
     case MessageKind::kQuarantine:
       if (const auto quarantine = peers::Unpack<QuarantineMessage>(bytes)) {
         quarantine_.OnQuarantineMessage(from, *quarantine);
--- a/apps/edge/log_text.h
+++ b/apps/edge/log_text.h
@@ -23,9 +23,9 @@
                                 : target.model.value() + "/" + target.adapter;
 }
 
-/** Ids of prompt parts in hexadecimal, separated by commas. */
-inline std::string TraitsText(const serving::TraitSet& parts) {
-  return fmt::format("{:x}", fmt::join(parts, ","));
+/** Ids of traits in hexadecimal, separated by commas. */
+inline std::string TraitsText(const serving::TraitSet& traits) {
+  return fmt::format("{:x}", fmt::join(traits, ","));
 }
 
 /** Requests per second, for a log field; empty if there is no limit. */
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -26,6 +26,7 @@
   kPermitReply = 11,
   kServerCrash = 12,
   kQuarantine = 13,
+  kSuspectRequest = 14,
 };
 
 /** Work that the sender has in flight at one server. */
@@ -256,10 +257,7 @@
   }
 };
 
-/**
- * A server process ended while a request with these prompt parts was waiting
- * for its answer. Sent and forwarded like ServerLeavingMessage.
- */
+/** SuspectRequestMessage as earlier builds send it, without fingerprint. */
 struct ServerCrashMessage {
   std::string server;
   std::int64_t started_ms = 0;
@@ -275,11 +273,31 @@
 };
 
 /**
- * Prompt parts are in quarantine (`active`) or no longer are. Sent and
- * forwarded like ServerLeavingMessage.
+ * A server process ended while this request was waiting for its answer. Sent
+ * and forwarded like ServerLeavingMessage.
  */
-struct QuarantineMessage {
+struct SuspectRequestMessage {
+  std::string server;
+  std::int64_t started_ms = 0;
+  std::string service;
+  std::uint64_t fingerprint = 0;
   std::vector<std::uint64_t> parts;
+
+  friend bool operator==(const SuspectRequestMessage&,
+                         const SuspectRequestMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(server, started_ms, service, fingerprint, parts);
+  }
+};
+
+/**
+ * Requests with these traits are in quarantine (`active`) or no longer are.
+ * Sent and forwarded like ServerLeavingMessage.
+ */
+struct QuarantineMessage {
+  std::vector<std::uint64_t> traits;
   bool active = false;
 
   friend bool operator==(const QuarantineMessage&,
@@ -287,7 +305,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(parts, active);
+    archive(traits, active);
   }
 };
 
--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -17,16 +17,16 @@
 // A process that ends closes its connections before its listener.
 constexpr Duration kCheckDelay = milliseconds(50);
 constexpr milliseconds kCheckTimeout{600};
-// Several instances find the same parts. All but one of them see its entry in
-// the store before they write their own.
+// Several instances find the same entry. All but one of them see it in the
+// store before they write their own.
 constexpr Duration kMaxSaveDelay = milliseconds(2'000);
 constexpr Duration kStoreRetryInterval = milliseconds(1'000);
 
 // Whether the response shows that the server process no longer runs. A timeout
 // does not: the server may be partitioned or stopped.
-bool HasEnded(const tl::expected<http::Response, http::ClientError>& response) {
-  constexpr int kMisdirected = 421;
-  return response ? response->status == kMisdirected
+bool HasEnded(const ServerId& server,
+              const tl::expected<http::Response, http::ClientError>& response) {
+  return response ? adapter::IsFromOtherServer(server, *response)
                   : response.error().stage == http::Stage::kConnect &&
                         !response.error().timed_out;
 }
@@ -74,17 +74,22 @@
 // ------------------------------------------------------------------ crashes
 
 void QuarantineDriver::OnBrokenAttempt(const serving::Choice& choice,
-                                       const serving::TraitSet& parts) {
-  if (!parts.empty()) {
+                                       const ServiceId& service,
+                                       const serving::SuspectRequest& request) {
+  auto& requests = checks_[{choice.server, choice.started_ms}];
+  requests.push_back(request);
+  if (requests.size() == 1) {
     RunAfter(state_.context, kCheckDelay,
-             [this, choice, parts] { CheckServer(choice, parts); });
+             [this, choice, service] { CheckServer(choice, service); });
   }
 }
 
 void QuarantineDriver::CheckServer(const serving::Choice& choice,
-                                   const serving::TraitSet& parts) {
+                                   const ServiceId& service) {
   const TimePoint now = MonotonicNow();
+  const ServerProcess process{choice.server, choice.started_ms};
   if (!permits_.MayCall(now, choice.server)) {
+    OnChecked(process, service, false);
     return;
   }
   permits_.OnInternalCall(now, choice.server);
@@ -93,66 +98,105 @@
   limits.piece_timeout = kCheckTimeout;
   limits.fresh_connection = true;
   client_.Fetch(
-      choice.address, adapter::MakeReportRequest(choice.server), limits,
-      [this, choice,
-       parts](const tl::expected<http::Response, http::ClientError>& response) {
-        if (HasEnded(response)) {
-          OnCrash({choice.server, choice.started_ms, parts}, Source::kOwn);
-          peers_.Announce(MessageKind::kServerCrash,
-                          ServerCrashMessage{choice.server.value(),
-                                             choice.started_ms,
-                                             {parts.begin(), parts.end()}},
-                          std::nullopt);
-        }
+      choice.address, MakeCheckRequest(choice.server, service), limits,
+      [this, process, service](
+          const tl::expected<http::Response, http::ClientError>& response) {
+        OnChecked(process, service, HasEnded(process.first, response));
       },
       adapter::MayAnswerInternalCall);
 }
 
+http::Request QuarantineDriver::MakeCheckRequest(
+    const ServerId& server, const ServiceId& service) const {
+  const serving::ServiceSpec* spec =
+      state_.catalog ? state_.catalog->FindService(service) : nullptr;
+  return spec != nullptr && !spec->engine
+             ? adapter::MakeHealthRequest(server, spec->health_path)
+             : adapter::MakeReportRequest(server);
+}
+
+void QuarantineDriver::OnChecked(const ServerProcess& process,
+                                 const ServiceId& service, bool ended) {
+  const auto requests = checks_.extract(process);
+  if (!ended || requests.empty()) {
+    return;
+  }
+  const auto& [server, started_ms] = process;
+  for (const serving::SuspectRequest& request : requests.mapped()) {
+    OnCrash({server, started_ms, service, request}, Source::kOwn);
+    peers_.Announce(
+        MessageKind::kSuspectRequest,
+        SuspectRequestMessage{server.value(),
+                              started_ms,
+                              service.value(),
+                              request.fingerprint,
+                              {request.parts.begin(), request.parts.end()}},
+        std::nullopt);
+  }
+}
+
 void QuarantineDriver::OnCrashMessage(const InstanceId& from,
                                       const ServerCrashMessage& message) {
+  const serving::BackendServer* server =
+      state_.directory.Find(ServerId(message.server));
   OnCrash({ServerId(message.server),
            message.started_ms,
-           {message.parts.begin(), message.parts.end()}},
+           server == nullptr ? ServiceId() : server->service,
+           {0, {message.parts.begin(), message.parts.end()}}},
           Source::kPeer);
   peers_.Announce(MessageKind::kServerCrash, message, from);
 }
 
+void QuarantineDriver::OnSuspectMessage(const InstanceId& from,
+                                        const SuspectRequestMessage& message) {
+  OnCrash({ServerId(message.server),
+           message.started_ms,
+           ServiceId(message.service),
+           {message.fingerprint, {message.parts.begin(), message.parts.end()}}},
+          Source::kPeer);
+  peers_.Announce(MessageKind::kSuspectRequest, message, from);
+}
+
 void QuarantineDriver::OnCrash(const serving::CrashReport& report,
                                Source source) {
   state_.metrics
       .GetCounter("figwell_server_crash_reports_total",
                   telemetry::Label("source", Name(source)))
       .Add();
-  telemetry::Log(Event::kServerCrashed, Name(source),
-                 {{"server", report.server.value()},
-                  {"started_ms", std::to_string(report.started_ms)},
-                  {"parts", TraitsText(report.parts)}});
+  telemetry::Log(
+      Event::kServerCrashed, Name(source),
+      {{"server", report.server.value()},
+       {"started_ms", std::to_string(report.started_ms)},
+       {"fingerprint", fmt::format("{:x}", report.request.fingerprint)},
+       {"parts", TraitsText(report.request.parts)}});
   state_.quarantine.OnCrash(MonotonicNow(), report);
+  Evaluate(source);
   RunAfter(state_.context, serving::RequestQuarantine::kReportTime,
            [this, source] { Evaluate(source); });
 }
 
 void QuarantineDriver::Evaluate(Source source) {
-  const auto parts = state_.quarantine.Evaluate(MonotonicNow());
-  if (!parts) {
+  const auto traits = state_.quarantine.Evaluate(MonotonicNow());
+  if (!traits) {
     return;
   }
-  LogEntry(Event::kPromptQuarantined, *parts, Source::kOwn);
+  LogEntry(Event::kPromptQuarantined, *traits, Source::kOwn);
   if (source == Source::kOwn) {
-    Announce(*parts, true);
-    Save(*parts);
+    Announce(*traits, true);
+    Save(*traits);
     return;
   }
   RunAfter(
       state_.context,
       Duration(static_cast<std::int64_t>(
           state_.random.Unit() * static_cast<double>(kMaxSaveDelay.count()))),
-      [this, parts = *parts] { Save(parts); });
+      [this, traits = *traits] { Save(traits); });
 }
 
-void QuarantineDriver::OnAnswer(const serving::TraitSet& parts) {
+void QuarantineDriver::OnAnswer(const ServiceId& service,
+                                const serving::TraitSet& traits) {
   for (const serving::TraitSet& lifted :
-       state_.quarantine.OnAnswer(MonotonicNow(), parts)) {
+       state_.quarantine.OnAnswer(MonotonicNow(), service, traits)) {
     LogEntry(Event::kQuarantineLifted, lifted, Source::kOwn);
     Announce(lifted, false);
     Erase(lifted);
@@ -161,36 +205,36 @@
 
 // ------------------------------------------------------------------ entries
 
-void QuarantineDriver::Add(const serving::TraitSet& parts, Source source) {
-  if (state_.quarantine.Add(MonotonicNow(), parts)) {
-    LogEntry(Event::kPromptQuarantined, parts, source);
+void QuarantineDriver::Add(const serving::TraitSet& traits, Source source) {
+  if (state_.quarantine.Add(MonotonicNow(), traits)) {
+    LogEntry(Event::kPromptQuarantined, traits, source);
   }
 }
 
-void QuarantineDriver::Remove(const serving::TraitSet& parts, Source source) {
-  if (state_.quarantine.Remove(parts)) {
-    LogEntry(Event::kQuarantineLifted, parts, source);
+void QuarantineDriver::Remove(const serving::TraitSet& traits, Source source) {
+  if (state_.quarantine.Remove(traits)) {
+    LogEntry(Event::kQuarantineLifted, traits, source);
   }
 }
 
-void QuarantineDriver::LogEntry(Event event, const serving::TraitSet& parts,
+void QuarantineDriver::LogEntry(Event event, const serving::TraitSet& traits,
                                 Source source) {
-  telemetry::Log(event, Name(source), {{"parts", TraitsText(parts)}});
+  telemetry::Log(event, Name(source), {{"parts", TraitsText(traits)}});
 }
 
-void QuarantineDriver::Announce(const serving::TraitSet& parts, bool active) {
+void QuarantineDriver::Announce(const serving::TraitSet& traits, bool active) {
   peers_.Announce(MessageKind::kQuarantine,
-                  QuarantineMessage{{parts.begin(), parts.end()}, active},
+                  QuarantineMessage{{traits.begin(), traits.end()}, active},
                   std::nullopt);
 }
 
 void QuarantineDriver::OnQuarantineMessage(const InstanceId& from,
                                            const QuarantineMessage& message) {
-  const serving::TraitSet parts(message.parts.begin(), message.parts.end());
+  const serving::TraitSet traits(message.traits.begin(), message.traits.end());
   if (message.active) {
-    Add(parts, Source::kPeer);
+    Add(traits, Source::kPeer);
   } else {
-    Remove(parts, Source::kPeer);
+    Remove(traits, Source::kPeer);
   }
   peers_.Announce(MessageKind::kQuarantine, message, from);
 }
@@ -199,19 +243,19 @@
   return state_.settings.store_prefix + "quarantine/";
 }
 
-std::string QuarantineDriver::KeyOf(const serving::TraitSet& parts) const {
-  return EntriesPrefix() + TraitsText(parts);
+std::string QuarantineDriver::KeyOf(const serving::TraitSet& traits) const {
+  return EntriesPrefix() + TraitsText(traits);
 }
 
 void QuarantineDriver::OnStoreEntry(const serving::LoggedEntry& entry) {
   const std::string_view key = entry.key;
-  const serving::TraitSet parts =
+  const serving::TraitSet traits =
       ParseTraits(key.substr(EntriesPrefix().size()));
   if (!entry.removed) {
-    stored_.insert(parts);
-    Add(parts, Source::kStore);
-  } else if (stored_.erase(parts) > 0) {
-    Remove(parts, Source::kStore);
+    stored_.insert(traits);
+    Add(traits, Source::kStore);
+  } else if (stored_.erase(traits) > 0) {
+    Remove(traits, Source::kStore);
   }
 }
 
@@ -224,48 +268,49 @@
   RunAfter(state_.context, kStoreRetryInterval, std::move(handler));
 }
 
-void QuarantineDriver::Save(const serving::TraitSet& parts) {
-  if (stored_.contains(parts) ||
-      !state_.quarantine.Contains(MonotonicNow(), parts)) {
+void QuarantineDriver::Save(const serving::TraitSet& traits) {
+  if (stored_.contains(traits) ||
+      !state_.quarantine.Contains(MonotonicNow(), traits)) {
     return;
   }
   store_.GrantLease(std::chrono::duration_cast<milliseconds>(
                         serving::RequestQuarantine::kQuarantineTime),
-                    [this, parts](const Result<store::LeaseId>& lease) {
+                    [this, traits](const Result<store::LeaseId>& lease) {
                       if (lease) {
-                        WriteEntry(parts, *lease);
+                        WriteEntry(traits, *lease);
                       } else {
                         RetryStoreCall("saving", lease.error(),
-                                       [this, parts] { Save(parts); });
+                                       [this, traits] { Save(traits); });
                       }
                     });
 }
 
-void QuarantineDriver::WriteEntry(const serving::TraitSet& parts,
+void QuarantineDriver::WriteEntry(const serving::TraitSet& traits,
                                   store::LeaseId lease) {
   adapter::Change change;
   // If another instance has written the entry, the lease expires unused.
-  change.conditions.push_back({KeyOf(parts), 0});
-  change.writes.push_back({KeyOf(parts), TraitsText(parts), lease});
-  store_.Commit(change, [this,
-                         parts](const Result<adapter::ChangeResult>& result) {
-    if (!result) {
-      RetryStoreCall("saving", result.error(), [this, parts] { Save(parts); });
-    }
-  });
+  change.conditions.push_back({KeyOf(traits), 0});
+  change.writes.push_back({KeyOf(traits), TraitsText(traits), lease});
+  store_.Commit(change,
+                [this, traits](const Result<adapter::ChangeResult>& result) {
+                  if (!result) {
+                    RetryStoreCall("saving", result.error(),
+                                   [this, traits] { Save(traits); });
+                  }
+                });
 }
 
-void QuarantineDriver::Erase(const serving::TraitSet& parts) {
-  if (state_.quarantine.Contains(MonotonicNow(), parts)) {
+void QuarantineDriver::Erase(const serving::TraitSet& traits) {
+  if (state_.quarantine.Contains(MonotonicNow(), traits)) {
     return;  // it is in quarantine again
   }
   adapter::Change change;
-  change.removals.push_back(KeyOf(parts));
+  change.removals.push_back(KeyOf(traits));
   store_.Commit(change,
-                [this, parts](const Result<adapter::ChangeResult>& result) {
+                [this, traits](const Result<adapter::ChangeResult>& result) {
                   if (!result) {
                     RetryStoreCall("lifting", result.error(),
-                                   [this, parts] { Erase(parts); });
+                                   [this, traits] { Erase(traits); });
                   }
                 });
 }
--- a/apps/edge/quarantine_driver.h
+++ b/apps/edge/quarantine_driver.h
@@ -2,9 +2,12 @@
 #define FIGWELL_APPS_EDGE_QUARANTINE_DRIVER_H_
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "peer_group.h"
 #include "permit_client.h"
@@ -14,7 +17,7 @@
 
 /**
  * Finds out which servers have crashed, shares this with the peers, and keeps
- * the prompt parts in quarantine in the store, where they outlast this process.
+ * the entries of the quarantine in the store, where they outlast this process.
  */
 class QuarantineDriver {
  public:
@@ -26,12 +29,14 @@
    * An attempt broke off before its answer was under way: finds out whether the
    * server process has ended.
    */
-  void OnBrokenAttempt(const serving::Choice& choice,
-                       const serving::TraitSet& parts);
-  /** The answer to a request with these parts is under way. */
-  void OnAnswer(const serving::TraitSet& parts);
+  void OnBrokenAttempt(const serving::Choice& choice, const ServiceId& service,
+                       const serving::SuspectRequest& request);
+  /** The service's answer to a request with these traits is under way. */
+  void OnAnswer(const ServiceId& service, const serving::TraitSet& traits);
   void OnCrashMessage(const InstanceId& from,
                       const ServerCrashMessage& message);
+  void OnSuspectMessage(const InstanceId& from,
+                        const SuspectRequestMessage& message);
   void OnQuarantineMessage(const InstanceId& from,
                            const QuarantineMessage& message);
   /** An entry below EntriesPrefix was written or removed. */
@@ -44,32 +49,40 @@
   enum class Source { kOwn, kPeer, kStore };
   static std::string_view Name(Source source);
 
-  void CheckServer(const serving::Choice& choice,
-                   const serving::TraitSet& parts);
+  /** A server process, by its id and BackendServer::started_ms. */
+  using ServerProcess = std::pair<ServerId, std::int64_t>;
+
+  void CheckServer(const serving::Choice& choice, const ServiceId& service);
+  http::Request MakeCheckRequest(const ServerId& server,
+                                 const ServiceId& service) const;
+  void OnChecked(const ServerProcess& process, const ServiceId& service,
+                 bool ended);
   void OnCrash(const serving::CrashReport& report, Source source);
   void Evaluate(Source source);
-  void Add(const serving::TraitSet& parts, Source source);
-  void Remove(const serving::TraitSet& parts, Source source);
-  static void LogEntry(telemetry::Event event, const serving::TraitSet& parts,
+  void Add(const serving::TraitSet& traits, Source source);
+  void Remove(const serving::TraitSet& traits, Source source);
+  static void LogEntry(telemetry::Event event, const serving::TraitSet& traits,
                        Source source);
   /** Tells the peers that an entry is in force, or no longer is. */
-  void Announce(const serving::TraitSet& parts, bool active);
+  void Announce(const serving::TraitSet& traits, bool active);
 
   /** Writes an entry to the store, unless it is there or has been lifted. */
-  void Save(const serving::TraitSet& parts);
-  void WriteEntry(const serving::TraitSet& parts, store::LeaseId lease);
+  void Save(const serving::TraitSet& traits);
+  void WriteEntry(const serving::TraitSet& traits, store::LeaseId lease);
   /** Removes a lifted entry from the store. */
-  void Erase(const serving::TraitSet& parts);
+  void Erase(const serving::TraitSet& traits);
   /** Logs that a call failed, and runs `handler` after a while. */
   void RetryStoreCall(std::string_view call, const Error& error,
                       std::function<void()> handler);
-  std::string KeyOf(const serving::TraitSet& parts) const;
+  std::string KeyOf(const serving::TraitSet& traits) const;
 
   State& state_;
   adapter::StoreClient& store_;
   http::Client& client_;
   PeerGroup& peers_;
   PermitClient& permits_;
+  /** Broken attempts at servers that are being checked. */
+  std::map<ServerProcess, std::vector<serving::SuspectRequest>> checks_;
   /** Entries that the store holds, as last seen. */
   std::set<serving::TraitSet> stored_;
 };
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -133,8 +133,8 @@
     needs_.service = *service;
   }
   const http::Request& request = caller_->request();
-  fingerprint_ = serving::RequestFingerprint(team_, request.method, head_.host,
-                                             request.target, request.body);
+  suspect_.fingerprint = serving::RequestFingerprint(
+      team_, request.method, head_.host, request.target, request.body);
   needs_.target = head_.target;
   needs_.prompt_tokens = head_.prompt_tokens.value_or(0);
   needs_.output_tokens = head_.output_tokens;
@@ -143,8 +143,10 @@
   if (service == nullptr || !service->engine) {
     needs_.target = {};
   } else {
-    shared_parts_ = serving::SharedParts(head_.parts);
+    suspect_.parts = serving::SharedParts(head_.parts);
   }
+  traits_ = suspect_.parts;
+  traits_.insert(suspect_.fingerprint);
   if (!needs_.target.model.empty()) {
     const double ms = static_cast<double>(needs_.prompt_tokens) *
                       state_.balancer.MillisecondsPerToken(needs_.target.model);
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -153,10 +153,10 @@
   TeamId team_;
   serving::Tokens charged_tokens_ = 0;
   serving::RequestNeeds needs_;
-  /** See serving::RequestFingerprint. */
-  std::uint64_t fingerprint_ = 0;
-  /** The shared parts of the prompt; empty if no engine is needed. */
-  serving::TraitSet shared_parts_;
+  /** By what the request is known if servers crash under it. */
+  serving::SuspectRequest suspect_;
+  /** All traits of `suspect_`. */
+  serving::TraitSet traits_;
   boost::asio::steady_timer deadline_timer_;
   boost::asio::steady_timer adapter_timer_;
   boost::asio::steady_timer permit_timer_;
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -65,11 +65,11 @@
 
 bool CallerRequest::RefuseIfQuarantined() {
   const TimePoint now = MonotonicNow();
-  const auto end = state_.quarantine.FindEnd(now, shared_parts_);
+  const auto end = state_.quarantine.FindEnd(now, traits_);
   if (!end) {
     return false;
   }
-  const std::string detail = "parts " + TraitsText(shared_parts_);
+  const std::string detail = "traits " + TraitsText(traits_);
   if (may_have_run_) {
     FailRequest(adapter::FailureReason::kBroken, detail);
   } else {
@@ -253,7 +253,7 @@
        {"server", choice.server.value()},
        {"target", TargetText(needs_.target)},
        {"prompt", PromptIdText()},
-       {"fingerprint", fmt::format("{:x}", fingerprint_)},
+       {"fingerprint", fmt::format("{:x}", suspect_.fingerprint)},
        {"tokens", std::to_string(needs_.prompt_tokens)},
        {"config", std::to_string(catalog_->number())},
        {"expected_ms", Ms(choice.expected)},
@@ -349,8 +349,8 @@
                   {"status", std::to_string(status_)},
                   {"sent_to", std::to_string(sent_to)},
                   {"events", std::to_string(attempt_events_)},
-                  {"fingerprint", fmt::format("{:x}", fingerprint_)},
-                  {"parts", TraitsText(shared_parts_)},
+                  {"fingerprint", fmt::format("{:x}", suspect_.fingerprint)},
+                  {"parts", TraitsText(suspect_.parts)},
                   {"next", retry       ? "other_server"
                            : may_retry ? "no_retry_budget"
                                        : "none"}});
@@ -363,7 +363,7 @@
 
 void CallerRequest::FailBrokenAttempt(std::string_view detail) {
   if (attempt_events_ < kEventsOfSoundAnswer) {
-    quarantine_.OnBrokenAttempt(choice_, shared_parts_);
+    quarantine_.OnBrokenAttempt(choice_, needs_.service, suspect_);
   }
   event_was_cut_ = event_was_cut_ || event_reader_.pending() > 0;
   FailAttempt(
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -137,7 +137,7 @@
   const bool was_sound = attempt_events_ >= kEventsOfSoundAnswer;
   attempt_events_ += count;
   if (!was_sound && attempt_events_ >= kEventsOfSoundAnswer) {
-    quarantine_.OnAnswer(shared_parts_);
+    quarantine_.OnAnswer(needs_.service, traits_);
   }
 }
 
@@ -207,7 +207,7 @@
                         serving::AttemptEnd::kAnswered);
   attempt_.reset();
   if (attempt_events_ < kEventsOfSoundAnswer) {
-    quarantine_.OnAnswer(shared_parts_);
+    quarantine_.OnAnswer(needs_.service, traits_);
   }
   StartRelay();
   caller_->Finish();
@@ -256,7 +256,7 @@
       MonotonicNow(), *attempt_,
       failed ? serving::AttemptEnd::kFailed : serving::AttemptEnd::kAnswered);
   attempt_.reset();
-  quarantine_.OnAnswer(shared_parts_);
+  quarantine_.OnAnswer(needs_.service, traits_);
   RecordFirstByte();
   caller_->Send(
       {status_, adapter::HeadersForCaller(answer_headers_), std::move(body_)});
--- a/fuzz/edge_messages_fuzz.cc
+++ b/fuzz/edge_messages_fuzz.cc
@@ -29,6 +29,7 @@
   TryUnpack<edge::ServerLimitMessage>(input);
   TryUnpack<edge::PermitRequestMessage>(input);
   TryUnpack<edge::ServerCrashMessage>(input);
+  TryUnpack<edge::SuspectRequestMessage>(input);
   TryUnpack<edge::QuarantineMessage>(input);
   TryUnpack<edge::PermitReplyMessage>(input);
   TryUnpack<edge::AdapterRequestMessage>(input);
--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -18,7 +18,7 @@
  *   server_limits.h       ServerLimits: request rates that servers accept
  *   team_rate_limiter.h   TeamRateLimiter: rates and bursts of teams
  *   summary.h             DomainSummary: sums of the reports of a domain
- *   request_quarantine.h   RequestQuarantine: prompts that crash servers
+ *   request_quarantine.h   RequestQuarantine: requests that crash servers
  *   attempts.h            MayRetry, RetryBudget: retries of failed attempts
  *   leadership.h          PlacementLease: which instance sends orders
  *   permits.h             PermitScheduler: requests to servers with a limit
--- a/libs/serving/include/figwell/serving/request_quarantine.h
+++ b/libs/serving/include/figwell/serving/request_quarantine.h
@@ -1,7 +1,7 @@
 #ifndef FIGWELL_SERVING_REQUEST_QUARANTINE_H_
 #define FIGWELL_SERVING_REQUEST_QUARANTINE_H_
 
-/** Refuses prompts under which server after server crashes; see serving.h. */
+/** Refuses requests under which server after server crashes; see serving.h. */
 
 #include <cstdint>
 #include <map>
@@ -15,7 +15,10 @@
 
 namespace figwell::serving {
 
-/** Ids of prompt parts, see PromptPart::id. */
+/**
+ * What requests may have in common: ids of prompt parts (PromptPart::id) and
+ * fingerprints (RequestFingerprint).
+ */
 using TraitSet = std::set<std::uint64_t>;
 
 /** Parts of one prompt that are considered; they fit into a datagram. */
@@ -37,29 +40,63 @@
                                  std::string_view host, std::string_view target,
                                  std::string_view body);
 
-/**
- * A server process ended while a request with these parts was waiting for its
- * answer.
- */
+/** A request that was waiting for its answer when a server process ended. */
+struct SuspectRequest {
+  /** RequestFingerprint; 0 if the reporting instance does not state it. */
+  std::uint64_t fingerprint = 0;
+  /** See SharedParts. */
+  TraitSet parts;
+
+  /** Whether the request has all of these traits. */
+  bool HasAll(const TraitSet& traits) const;
+  friend bool operator==(const SuspectRequest&,
+                         const SuspectRequest&) = default;
+};
+
+/** A server process ended while a request was waiting for its answer. */
 struct CrashReport {
   ServerId server;
   /** BackendServer::started_ms of the process. */
   std::int64_t started_ms = 0;
-  TraitSet parts;
+  ServiceId service;
+  SuspectRequest request;
 
   friend bool operator==(const CrashReport&, const CrashReport&) = default;
 };
 
 /**
- * Attributes crashes of servers to prompt parts. A part is a suspect of a crash
- * if a request with it was waiting for its answer at the server; an answer to
- * any request with the part clears it. A part that is a suspect of several
- * crashes, and of more than any other, is quarantined: requests with it are to
- * be refused. Parts that always occur together are quarantined together, and
- * only requests with all of them are refused.
+ * Attributes crashes of servers to requests that come again, and to prompt
+ * parts. A request or part is a suspect of a crash if the request, or one with
+ * the part, was waiting for its answer at the server; an answer to such a
+ * request clears it.
+ *
+ * A request that is a suspect of kMinRepeatCrashes crashes is quarantined: it
+ * is to be refused when it comes again. Crashes that this does not explain are
+ * attributed to parts: a part that is a suspect of several crashes, and of more
+ * than any other, is quarantined, and requests with it are to be refused. Parts
+ * that always occur together are quarantined together, and only requests with
+ * all of them are refused.
+ *
+ * Memory is bounded: of more than kMaxCrashes crashes the oldest are forgotten,
+ * of more than kMaxRequestsPerCrash requests the last to be reported, and of
+ * more than kMaxEntries entries the last to be added.
  */
 class RequestQuarantine {
  public:
+  /**
+   * Crashes of which a request has to be a suspect, with at least
+   * kMinRepeatSpan between the first and the last of them: servers that fail
+   * together are not evidence against a request that several of them ran.
+   */
+  static constexpr std::size_t kMinRepeatCrashes = 3;
+  static constexpr Duration kMinRepeatSpan = std::chrono::milliseconds(250);
+  /**
+   * Answers of the service since the first of these crashes. While it answers
+   * nothing, a request is to blame only if it is a suspect of nearly all
+   * crashes.
+   */
+  static constexpr std::uint64_t kMinRepeatAnswers = 3;
+  static constexpr double kMinSoleSuspectShare = 0.8;
   /**
    * Crashes of which a part has to be a suspect, and their share in all crashes
    * from the first to the last of them. Parts that many requests have are
@@ -75,8 +112,8 @@
    */
   static constexpr Duration kMinCrashSpan = std::chrono::seconds(1);
   /**
-   * Answers to prompts with shared parts since the first of these crashes.
-   * While all of them fail, no part is to blame.
+   * Answers of the service since the first of these crashes. While all requests
+   * fail, no part is to blame.
    */
   static constexpr std::uint64_t kMinAnswers = 20;
   /** How long ago the last of these crashes may have been. */
@@ -89,67 +126,76 @@
   static constexpr Duration kCrashRetention = std::chrono::minutes(15);
   /** Crashes, and requests per crash, that are kept. */
   static constexpr std::size_t kMaxCrashes = 64;
-  static constexpr std::size_t kMaxRequestsPerCrash = 16;
-  /** Entries of the quarantine, and parts in one. */
+  static constexpr std::size_t kMaxRequestsPerCrash = 64;
+  /** Entries of the quarantine, and traits in one. */
   static constexpr std::size_t kMaxEntries = 256;
-  static constexpr std::size_t kMaxEntryParts = 8;
+  static constexpr std::size_t kMaxEntryTraits = 8;
 
   void OnCrash(TimePoint now, const CrashReport& report);
   /**
-   * Attributes the crashes that happened at least kReportTime ago.
-   * @return the parts that are quarantined from now on, if any
+   * Attributes the crashes: to requests at once, to parts those that happened
+   * at least kReportTime ago.
+   * @return the entry that is in quarantine from now on, if any
    */
   std::optional<TraitSet> Evaluate(TimePoint now);
   /**
-   * A request with these parts was answered.
+   * A request with these traits was answered by the service.
    * @return entries of the quarantine that were wrong and have been removed
    */
-  std::vector<TraitSet> OnAnswer(TimePoint now, const TraitSet& parts);
+  std::vector<TraitSet> OnAnswer(TimePoint now, const ServiceId& service,
+                                 const TraitSet& traits);
 
   /** Adds an entry from elsewhere. @return whether it is new */
-  bool Add(TimePoint now, const TraitSet& parts);
+  bool Add(TimePoint now, const TraitSet& traits);
   /** Lifts a quarantine. @return whether the entry existed */
-  bool Remove(const TraitSet& parts);
-  bool Contains(TimePoint now, const TraitSet& parts) const;
+  bool Remove(const TraitSet& traits);
+  bool Contains(TimePoint now, const TraitSet& traits) const;
 
-  /** When the quarantine of a request with these parts ends, if it is in one.
+  /** When the quarantine of a request with these traits ends, if it is in one.
    */
-  std::optional<TimePoint> FindEnd(TimePoint now, const TraitSet& parts) const;
+  std::optional<TimePoint> FindEnd(TimePoint now, const TraitSet& traits) const;
   std::size_t size() const { return entries_.size(); }
 
  private:
   struct Crash {
     ServerId server;
     std::int64_t started_ms = 0;
+    ServiceId service;
     TimePoint at;
-    /** Value of `answers_` at the time. */
+    /** Answers of the service before it. */
     std::uint64_t answers_before = 0;
-    /** The suspects: the parts of each request that was waiting. */
-    std::vector<TraitSet> requests;
+    /** The suspects. */
+    std::vector<SuspectRequest> requests;
   };
-
-  /** The crashes of which each part is a suspect, in order of time. */
-  using CrashesOfParts = std::map<std::uint64_t, std::vector<const Crash*>>;
+  /** In order of time. */
+  using Crashes = std::vector<const Crash*>;
 
   Crash& FindOrAddCrash(TimePoint now, const CrashReport& report);
-  /** Crashes without an explanation of which all reports have arrived. */
-  std::vector<const Crash*> UnexplainedCrashes(TimePoint now) const;
-  /** Whether parts in quarantine were waiting at the server. */
+  /** Crashes without an explanation that are at least this long ago. */
+  Crashes UnexplainedCrashes(TimePoint now, Duration min_age) const;
+  /** Whether a request in quarantine was waiting at the server. */
   bool IsExplained(TimePoint now, const Crash& crash) const;
-  static CrashesOfParts GroupByPart(const std::vector<const Crash*>& crashes);
-  /** Whether `crashes` suffice to quarantine a suspect of all of them. */
-  bool IsEvidence(TimePoint now, const std::vector<const Crash*>& crashes,
-                  const std::vector<const Crash*>& all) const;
-  std::optional<TraitSet> FindCulprits(TimePoint now) const;
-  /** The parts are no suspects of the crashes so far. */
-  void Clear(const TraitSet& parts);
+  /** Share of `crashes` in all from the first to the last of them. */
+  static double ShareOfSpan(const Crashes& crashes, const Crashes& all);
+  /** Answers of the service since the first of these crashes. */
+  std::uint64_t AnswersSince(const Crashes& crashes) const;
+  /** Whether `crashes` suffice to quarantine a request with this fingerprint.
+   */
+  bool IsEvidenceOfRepeat(const Crashes& crashes, const Crashes& all) const;
+  /** Whether `crashes` suffice to quarantine parts that are their suspects. */
+  bool IsEvidenceOfPart(TimePoint now, const Crashes& crashes,
+                        const Crashes& all) const;
+  std::optional<TraitSet> FindLethalRequest(TimePoint now) const;
+  std::optional<TraitSet> FindLethalParts(TimePoint now) const;
+  /** These traits are no suspects of the crashes so far. */
+  void Clear(const TraitSet& traits);
   void DropOutdated(TimePoint now);
 
   /** In order of time. */
   std::vector<Crash> crashes_;
   /** End of the quarantine of each entry. */
   std::map<TraitSet, TimePoint> entries_;
-  std::uint64_t answers_ = 0;
+  std::map<ServiceId, std::uint64_t> answers_;
 };
 
 }  // namespace figwell::serving
--- a/libs/serving/src/request_quarantine.cc
+++ b/libs/serving/src/request_quarantine.cc
@@ -6,16 +6,16 @@
 namespace figwell::serving {
 namespace {
 
-bool Includes(const TraitSet& parts, const TraitSet& subset) {
-  return std::includes(parts.begin(), parts.end(), subset.begin(),
+bool Includes(const TraitSet& traits, const TraitSet& subset) {
+  return std::includes(traits.begin(), traits.end(), subset.begin(),
                        subset.end());
 }
 
-bool AnyIncludes(const std::vector<TraitSet>& requests,
-                 const TraitSet& subset) {
+bool AnyHasAll(const std::vector<SuspectRequest>& requests,
+               const TraitSet& traits) {
   return std::any_of(
       requests.begin(), requests.end(),
-      [&](const TraitSet& parts) { return Includes(parts, subset); });
+      [&](const SuspectRequest& request) { return request.HasAll(traits); });
 }
 
 TraitSet FirstOf(const TraitSet& parts, std::size_t count) {
@@ -48,6 +48,12 @@
   return std::max<std::uint64_t>(hash, 1);
 }
 
+bool SuspectRequest::HasAll(const TraitSet& traits) const {
+  return std::all_of(traits.begin(), traits.end(), [&](std::uint64_t trait) {
+    return trait == fingerprint || parts.contains(trait);
+  });
+}
+
 RequestQuarantine::Crash& RequestQuarantine::FindOrAddCrash(
     TimePoint now, const CrashReport& report) {
   const auto found =
@@ -61,7 +67,12 @@
   if (crashes_.size() >= kMaxCrashes) {
     crashes_.erase(crashes_.begin());
   }
-  crashes_.push_back({report.server, report.started_ms, now, answers_, {}});
+  crashes_.push_back({report.server,
+                      report.started_ms,
+                      report.service,
+                      now,
+                      answers_[report.service],
+                      {}});
   return crashes_.back();
 }
 
@@ -74,63 +85,87 @@
 
 bool RequestQuarantine::IsExplained(TimePoint now, const Crash& crash) const {
   return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
-    return item.second > now && AnyIncludes(crash.requests, item.first);
+    return item.second > now && AnyHasAll(crash.requests, item.first);
   });
 }
 
-std::vector<const RequestQuarantine::Crash*>
-RequestQuarantine::UnexplainedCrashes(TimePoint now) const {
-  std::vector<const Crash*> unexplained;
+RequestQuarantine::Crashes RequestQuarantine::UnexplainedCrashes(
+    TimePoint now, Duration min_age) const {
+  Crashes unexplained;
   for (const Crash& crash : crashes_) {
-    if (now - crash.at >= kReportTime && !IsExplained(now, crash)) {
+    if (now - crash.at >= min_age && !IsExplained(now, crash)) {
       unexplained.push_back(&crash);
     }
   }
   return unexplained;
 }
 
-RequestQuarantine::CrashesOfParts RequestQuarantine::GroupByPart(
-    const std::vector<const Crash*>& crashes) {
-  CrashesOfParts crashes_of;
-  for (const Crash* crash : crashes) {
-    TraitSet suspects;
-    for (const TraitSet& request : crash->requests) {
-      suspects.insert(request.begin(), request.end());
+std::uint64_t RequestQuarantine::AnswersSince(const Crashes& crashes) const {
+  const Crash& first = *crashes.front();
+  const auto answers = answers_.find(first.service);
+  return answers == answers_.end() ? 0 : answers->second - first.answers_before;
+}
+
+bool RequestQuarantine::IsEvidenceOfRepeat(const Crashes& crashes,
+                                           const Crashes& all) const {
+  return crashes.size() >= kMinRepeatCrashes &&
+         crashes.back()->at - crashes.front()->at >= kMinRepeatSpan &&
+         (AnswersSince(crashes) >= kMinRepeatAnswers ||
+          ShareOfSpan(crashes, all) >= kMinSoleSuspectShare);
+}
+
+std::optional<TraitSet> RequestQuarantine::FindLethalRequest(
+    TimePoint now) const {
+  const Crashes all = UnexplainedCrashes(now, Duration{0});
+  std::map<std::uint64_t, Crashes> crashes_of;
+  for (const Crash* crash : all) {
+    std::set<std::uint64_t> fingerprints;
+    for (const SuspectRequest& request : crash->requests) {
+      fingerprints.insert(request.fingerprint);
     }
-    for (const std::uint64_t part : suspects) {
-      crashes_of[part].push_back(crash);
+    fingerprints.erase(0);
+    for (const std::uint64_t fingerprint : fingerprints) {
+      crashes_of[fingerprint].push_back(crash);
+    }
+  }
+  for (const auto& [fingerprint, crashes] : crashes_of) {
+    if (IsEvidenceOfRepeat(crashes, all)) {
+      return TraitSet{fingerprint};
     }
   }
-  return crashes_of;
+  return std::nullopt;
 }
 
-bool RequestQuarantine::IsEvidence(TimePoint now,
-                                   const std::vector<const Crash*>& crashes,
-                                   const std::vector<const Crash*>& all) const {
-  const Crash& first = *crashes.front();
+bool RequestQuarantine::IsEvidenceOfPart(TimePoint now, const Crashes& crashes,
+                                         const Crashes& all) const {
   const Crash& last = *crashes.back();
-  const auto between =
-      std::count_if(all.begin(), all.end(), [&](const Crash* crash) {
-        return crash->at >= first.at && crash->at <= last.at;
-      });
   return crashes.size() >= kMinCrashes && now - last.at <= kMaxEvidenceAge &&
-         last.at - first.at >= kMinCrashSpan &&
-         answers_ - first.answers_before >= kMinAnswers &&
-         static_cast<double>(crashes.size()) >=
-             kMinCrashShare * static_cast<double>(between);
+         last.at - crashes.front()->at >= kMinCrashSpan &&
+         AnswersSince(crashes) >= kMinAnswers &&
+         ShareOfSpan(crashes, all) >= kMinCrashShare;
 }
 
-std::optional<TraitSet> RequestQuarantine::FindCulprits(TimePoint now) const {
-  const std::vector<const Crash*> all = UnexplainedCrashes(now);
-  const CrashesOfParts crashes_of = GroupByPart(all);
+std::optional<TraitSet> RequestQuarantine::FindLethalParts(
+    TimePoint now) const {
+  const Crashes all = UnexplainedCrashes(now, kReportTime);
+  std::map<std::uint64_t, Crashes> crashes_of;
+  for (const Crash* crash : all) {
+    TraitSet suspects;
+    for (const SuspectRequest& request : crash->requests) {
+      suspects.insert(request.parts.begin(), request.parts.end());
+    }
+    for (const std::uint64_t part : suspects) {
+      crashes_of[part].push_back(crash);
+    }
+  }
   const auto worst = std::max_element(
       crashes_of.begin(), crashes_of.end(), [](const auto& a, const auto& b) {
         return a.second.size() < b.second.size();
       });
-  if (worst == crashes_of.end() || !IsEvidence(now, worst->second, all)) {
+  if (worst == crashes_of.end() || !IsEvidenceOfPart(now, worst->second, all)) {
     return std::nullopt;
   }
-  const std::vector<const Crash*>& crashes = worst->second;
+  const Crashes& crashes = worst->second;
   TraitSet culprits;
   for (const auto& [part, others] : crashes_of) {
     if (others == crashes) {
@@ -139,51 +174,54 @@
       return std::nullopt;  // the next crash will tell them apart
     }
   }
-  const bool occur_together =
-      std::all_of(crashes.begin(), crashes.end(), [&](const Crash* crash) {
-        return AnyIncludes(crash->requests, culprits);
-      });
-  return occur_together ? std::optional(FirstOf(culprits, kMaxEntryParts))
+  const bool occur_together = std::all_of(
+      crashes.begin(), crashes.end(),
+      [&](const Crash* crash) { return AnyHasAll(crash->requests, culprits); });
+  return occur_together ? std::optional(FirstOf(culprits, kMaxEntryTraits))
                         : std::nullopt;
 }
 
 void RequestQuarantine::OnCrash(TimePoint now, const CrashReport& report) {
   DropOutdated(now);
-  if (report.parts.empty()) {
+  if (report.request == SuspectRequest{}) {
     return;
   }
   Crash& crash = FindOrAddCrash(now, report);
   if (crash.requests.size() < kMaxRequestsPerCrash) {
-    crash.requests.push_back(FirstOf(report.parts, kMaxSharedParts));
+    crash.requests.push_back({report.request.fingerprint,
+                              FirstOf(report.request.parts, kMaxSharedParts)});
   }
 }
 
 std::optional<TraitSet> RequestQuarantine::Evaluate(TimePoint now) {
-  const auto culprits = FindCulprits(now);
-  return culprits && Add(now, *culprits) ? culprits : std::nullopt;
+  auto lethal = FindLethalRequest(now);
+  if (!lethal) {
+    lethal = FindLethalParts(now);
+  }
+  return lethal && Add(now, *lethal) ? lethal : std::nullopt;
 }
 
-void RequestQuarantine::Clear(const TraitSet& parts) {
+void RequestQuarantine::Clear(const TraitSet& traits) {
   for (Crash& crash : crashes_) {
-    for (TraitSet& request : crash.requests) {
-      std::erase_if(request,
-                    [&](std::uint64_t part) { return parts.contains(part); });
+    for (SuspectRequest& request : crash.requests) {
+      if (traits.contains(request.fingerprint)) {
+        request.fingerprint = 0;
+      }
+      std::erase_if(request.parts,
+                    [&](std::uint64_t part) { return traits.contains(part); });
     }
-    std::erase_if(crash.requests,
-                  [](const TraitSet& request) { return request.empty(); });
+    std::erase(crash.requests, SuspectRequest{});
   }
 }
 
 std::vector<TraitSet> RequestQuarantine::OnAnswer(TimePoint now,
-                                                  const TraitSet& parts) {
-  if (parts.empty()) {
-    return {};
-  }
-  ++answers_;
-  Clear(parts);
+                                                  const ServiceId& service,
+                                                  const TraitSet& traits) {
+  ++answers_[service];
+  Clear(traits);
   std::vector<TraitSet> removed;
   for (const auto& [entry, end] : entries_) {
-    if (end > now && Includes(parts, entry)) {
+    if (end > now && Includes(traits, entry)) {
       removed.push_back(entry);
     }
   }
@@ -193,34 +231,45 @@
   return removed;
 }
 
-bool RequestQuarantine::Add(TimePoint now, const TraitSet& parts) {
+bool RequestQuarantine::Add(TimePoint now, const TraitSet& traits) {
   DropOutdated(now);
-  if (parts.empty() || parts.size() > kMaxEntryParts ||
+  if (traits.empty() || traits.size() > kMaxEntryTraits ||
       entries_.size() >= kMaxEntries) {
     return false;
   }
-  return entries_.emplace(parts, now + kQuarantineTime).second;
+  return entries_.emplace(traits, now + kQuarantineTime).second;
 }
 
-bool RequestQuarantine::Remove(const TraitSet& parts) {
-  Clear(parts);
-  return entries_.erase(parts) > 0;
+bool RequestQuarantine::Remove(const TraitSet& traits) {
+  Clear(traits);
+  return entries_.erase(traits) > 0;
 }
 
-bool RequestQuarantine::Contains(TimePoint now, const TraitSet& parts) const {
-  const auto found = entries_.find(parts);
+bool RequestQuarantine::Contains(TimePoint now, const TraitSet& traits) const {
+  const auto found = entries_.find(traits);
   return found != entries_.end() && found->second > now;
 }
 
 std::optional<TimePoint> RequestQuarantine::FindEnd(
-    TimePoint now, const TraitSet& parts) const {
+    TimePoint now, const TraitSet& traits) const {
   std::optional<TimePoint> last;
   for (const auto& [entry, end] : entries_) {
-    if (end > now && Includes(parts, entry)) {
+    if (end > now && Includes(traits, entry)) {
       last = std::max(last.value_or(end), end);
     }
   }
   return last;
 }
 
+double RequestQuarantine::ShareOfSpan(const Crashes& crashes,
+                                      const Crashes& all) {
+  const TimePoint first = crashes.front()->at;
+  const TimePoint last = crashes.back()->at;
+  const auto between =
+      std::count_if(all.begin(), all.end(), [&](const Crash* crash) {
+        return crash->at >= first && crash->at <= last;
+      });
+  return static_cast<double>(crashes.size()) / static_cast<double>(between);
+}
+
 }  // namespace figwell::serving
--- a/libs/serving/tests/request_quarantine_load_test.cc
+++ b/libs/serving/tests/request_quarantine_load_test.cc
@@ -1,6 +1,8 @@
 // Played load: instances that share servers, sound requests with shared parts,
-// one part that crashes servers, and servers that fail for other reasons.
+// a part or a request that crashes servers, and servers that fail for other
+// reasons.
 
+#include <array>
 #include <deque>
 
 #include "figwell/serving/request_quarantine.h"
@@ -19,41 +21,68 @@
 constexpr std::uint64_t kFirstTopic = 0x100;
 constexpr Duration kTick = milliseconds(10);
 constexpr Duration kAnswerTime = milliseconds(150);
-// The users' bound: from kContact after the fifth crash, at most kMaxLate more
-// requests with the part.
-constexpr std::size_t kCrashes = 5;
+// The users' bounds: from kContact after the fifth crash under a part, or the
+// third under a request that comes again, at most kMaxLate more arrive.
+constexpr std::size_t kCrashesOfPart = 5;
+constexpr std::size_t kCrashesOfRequest = 3;
 constexpr Duration kContact = seconds(3);
 constexpr std::size_t kMaxLate = 3;
 
+const ServiceId kEngines("models");
+
 struct Request {
   TimePoint answered_at;
   std::size_t instance = 0;
   std::uint64_t server = 0;
-  TraitSet parts;
+  SuspectRequest identity;
+  bool lethal = false;
 };
 
+TraitSet TraitsOf(const SuspectRequest& request) {
+  TraitSet traits = request.parts;
+  traits.insert(request.fingerprint);
+  return traits;
+}
+
 class Fleet {
  public:
   explicit Fleet(std::uint64_t seed) : random_(seed) {}
 
-  // Sends a request to a random server, unless its instance refuses it.
-  void Send(const TraitSet& parts) {
+  // Sends a request to a random server that runs, unless its instance refuses
+  // it.
+  void Send(const SuspectRequest& identity, bool lethal) {
     const std::size_t instance = random_.Below(kInstances);
-    if (instances_[instance].FindEnd(now_, parts)) {
+    if (instances_[instance].FindEnd(now_, TraitsOf(identity))) {
       ++refused_;
-      sound_refused_ += parts.contains(kBad) ? 0 : 1;
+      sound_refused_ += lethal ? 0 : 1;
       return;
     }
     const std::uint64_t server = random_.Below(kServers);
-    if (parts.contains(kBad)) {
-      bad_sent_.push_back(now_);
+    if (down_until_[server] > now_) {
+      return;
+    }
+    if (lethal) {
+      lethal_sent_.push_back(now_);
     }
-    running_.push_back({now_ + kAnswerTime, instance, server, parts});
+    running_.push_back(
+        {now_ + kAnswerTime, instance, server, identity, lethal});
+  }
+  void SendSound(const TraitSet& parts) {
+    Send({++last_fingerprint_, parts}, false);
+  }
+  void SendLethalPart() {
+    TraitSet parts = Topic();
+    parts.insert(kBad);
+    Send({++last_fingerprint_, parts}, true);
+  }
+  void SendLethalRequest(const SuspectRequest& identity) {
+    Send(identity, true);
   }
 
   // Ends a server process; all instances learn which requests were waiting.
   void CrashServer(std::uint64_t server) {
     const std::int64_t start = ++starts_;
+    down_until_[server] = now_ + down_time_;
     std::deque<Request> others;
     for (const Request& request : running_) {
       if (request.server != server) {
@@ -61,8 +90,8 @@
         continue;
       }
       for (RequestQuarantine& instance : instances_) {
-        instance.OnCrash(
-            now_, {ServerId(std::to_string(server)), start, request.parts});
+        instance.OnCrash(now_, {ServerId(std::to_string(server)), start,
+                                kEngines, request.identity});
       }
     }
     running_ = std::move(others);
@@ -72,13 +101,14 @@
     now_ += kTick;
     while (!running_.empty() && running_.front().answered_at <= now_) {
       const Request request = running_.front();
-      if (request.parts.contains(kBad)) {
+      if (request.lethal) {
+        crashes_.push_back(now_);
         CrashServer(request.server);
         continue;
       }
       running_.pop_front();
-      for (const TraitSet& lifted :
-           instances_[request.instance].OnAnswer(now_, request.parts)) {
+      for (const TraitSet& lifted : instances_[request.instance].OnAnswer(
+               now_, kEngines, TraitsOf(request.identity))) {
         for (RequestQuarantine& other : instances_) {
           other.Remove(lifted);
         }
@@ -100,7 +130,17 @@
   TraitSet Topic() { return {kSystem, kFirstTopic + random_.Below(kTopics)}; }
   std::uint64_t AnyServer() { return random_.Below(kServers); }
   TimePoint now() const { return now_; }
-  const std::vector<TimePoint>& bad_sent() const { return bad_sent_; }
+  void SetDownTime(Duration down_time) { down_time_ = down_time; }
+  /** Lethal requests sent later than kContact after crash number `crashes`. */
+  std::size_t CountLate(std::size_t crashes) const {
+    if (crashes_.size() < crashes) {
+      return 0;
+    }
+    const TimePoint bound = crashes_[crashes - 1] + kContact;
+    return static_cast<std::size_t>(
+        std::count_if(lethal_sent_.begin(), lethal_sent_.end(),
+                      [&](TimePoint at) { return at > bound; }));
+  }
   std::size_t refused() const { return refused_; }
   std::size_t sound_refused() const { return sound_refused_; }
 
@@ -111,7 +151,12 @@
   TimePoint now_{};
   std::array<RequestQuarantine, kInstances> instances_;
   std::deque<Request> running_;
-  std::vector<TimePoint> bad_sent_;
+  std::vector<TimePoint> lethal_sent_;
+  /** When servers crashed under lethal requests. */
+  std::vector<TimePoint> crashes_;
+  std::array<TimePoint, kServers> down_until_{};
+  Duration down_time_{0};
+  std::uint64_t last_fingerprint_ = 0x10000;
   std::size_t refused_ = 0;
   std::size_t sound_refused_ = 0;
   std::int64_t starts_ = 0;
@@ -120,7 +165,10 @@
 /** Requests and crashes per second. */
 struct Load {
   double sound = 70;
-  double bad = 0;
+  double bad_part = 0;
+  /** Requests that crash servers, each sent at `bad_requests` per second. */
+  std::vector<SuspectRequest> lethal{};
+  double bad_requests = 0;
   double crashes = 0;  ///< for other reasons
   double racks = 0;    ///< crashes of five servers at once
 };
@@ -130,12 +178,16 @@
   while (fleet.now() < TimePoint(seconds(60))) {
     fleet.Tick();
     if (fleet.Happens(load.sound)) {
-      fleet.Send(fleet.Topic());
+      fleet.SendSound(fleet.Topic());
     }
-    if (fleet.now() >= TimePoint(seconds(10)) && fleet.Happens(load.bad)) {
-      TraitSet parts = fleet.Topic();
-      parts.insert(kBad);
-      fleet.Send(parts);
+    const bool begun = fleet.now() >= TimePoint(seconds(10));
+    if (begun && fleet.Happens(load.bad_part)) {
+      fleet.SendLethalPart();
+    }
+    for (const SuspectRequest& request : load.lethal) {
+      if (begun && fleet.Happens(load.bad_requests)) {
+        fleet.SendLethalRequest(request);
+      }
     }
     if (fleet.Happens(load.crashes)) {
       fleet.CrashServer(fleet.AnyServer());
@@ -148,29 +200,40 @@
   }
 }
 
-std::size_t CountLate(const std::vector<TimePoint>& bad_sent) {
-  if (bad_sent.size() < kCrashes) {
-    return 0;
-  }
-  const TimePoint bound = bad_sent[kCrashes - 1] + kAnswerTime + kContact;
-  return static_cast<std::size_t>(
-      std::count_if(bad_sent.begin(), bad_sent.end(),
-                    [&](TimePoint at) { return at > bound; }));
-}
-
 TEST_CASE("a crashing part is refused in time and sound requests are not") {
   for (const double other_crashes : {0.0, 0.3}) {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
       CAPTURE(seed, other_crashes);
       Fleet fleet(seed);
-      Play(fleet, {.bad = 1.5, .crashes = other_crashes});
-      CHECK(CountLate(fleet.bad_sent()) <= kMaxLate);
+      Play(fleet, {.bad_part = 1.5, .crashes = other_crashes});
+      CHECK(fleet.CountLate(kCrashesOfPart) <= kMaxLate);
       CHECK(fleet.refused() > 0);
       CHECK(fleet.sound_refused() == 0);
     }
   }
 }
 
+TEST_CASE("a request that crashes servers is refused and its parts are not") {
+  const std::vector<SuspectRequest> kinds = {{kBad, {}},
+                                             {kBad, {kSystem, kFirstTopic}}};
+  for (const SuspectRequest& lethal : kinds) {
+    for (const double per_second : {0.3, 2.0, 10.0}) {
+      for (const double other_crashes : {0.0, 0.3}) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+          CAPTURE(seed, per_second, other_crashes, lethal.parts.size());
+          Fleet fleet(seed);
+          fleet.SetDownTime(seconds(2));
+          Play(fleet, {.lethal = {lethal},
+                       .bad_requests = per_second,
+                       .crashes = other_crashes});
+          CHECK(fleet.CountLate(kCrashesOfRequest) <= kMaxLate);
+          CHECK(fleet.sound_refused() == 0);
+        }
+      }
+    }
+  }
+}
+
 TEST_CASE("no sound request is refused when servers fail for other reasons") {
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     CAPTURE(seed);
--- a/libs/serving/tests/request_quarantine_test.cc
+++ b/libs/serving/tests/request_quarantine_test.cc
@@ -16,14 +16,25 @@
 constexpr std::uint64_t kBad = 0xbad;
 constexpr int kCrashes = static_cast<int>(RequestQuarantine::kMinCrashes);
 
+const ServiceId kEngines("models");
+const ServiceId kDesks("desk");
+
 CrashReport Crash(int server, TraitSet parts, std::int64_t started_ms = 1) {
-  return {ServerId(std::to_string(server)), started_ms, std::move(parts)};
+  return {ServerId(std::to_string(server)),
+          started_ms,
+          kEngines,
+          {0, std::move(parts)}};
+}
+
+// A crash of a server without an engine under this request.
+CrashReport DeskCrash(int server, std::uint64_t fingerprint) {
+  return {ServerId(std::to_string(server)), 1, kDesks, {fingerprint, {}}};
 }
 
 void Answer(RequestQuarantine& quarantine, TimePoint now, const TraitSet& parts,
-            std::uint64_t times) {
+            std::uint64_t times, const ServiceId& service = kEngines) {
   for (std::uint64_t i = 0; i < times; ++i) {
-    CHECK(quarantine.OnAnswer(now, parts).empty());
+    CHECK(quarantine.OnAnswer(now, service, parts).empty());
   }
 }
 
@@ -149,7 +160,7 @@
   RequestQuarantine quarantine;
   for (int i = 0; i < 20; ++i) {
     quarantine.OnCrash(At(500 * i), Crash(i, {kSystem, 0x10}));
-    Answer(quarantine, At(500 * i), {}, 10);
+    Answer(quarantine, At(500 * i), {0x77}, 10, kDesks);
     CHECK_FALSE(Evaluate(quarantine, At(500 * i)));
   }
 }
@@ -183,8 +194,8 @@
 TEST_CASE("an answer to a request with the part lifts its quarantine") {
   RequestQuarantine quarantine;
   CrashServers(quarantine);
-  CHECK(quarantine.OnAnswer(At(4'100), {kSystem}).empty());
-  CHECK(quarantine.OnAnswer(At(4'100), {kSystem, kBad}) ==
+  CHECK(quarantine.OnAnswer(At(4'100), kEngines, {kSystem}).empty());
+  CHECK(quarantine.OnAnswer(At(4'100), kEngines, {kSystem, kBad}) ==
         std::vector<TraitSet>{{kBad}});
   CHECK_FALSE(quarantine.FindEnd(At(4'100), {kBad}));
 }
@@ -213,6 +224,70 @@
   CHECK(quarantine.size() == 2);
 }
 
+TEST_CASE("a request under which three servers crashed is quarantined") {
+  RequestQuarantine quarantine;
+  for (int i = 0; i < 3; ++i) {
+    CHECK_FALSE(quarantine.Evaluate(At(500 * i)));
+    quarantine.OnCrash(At(500 * i), DeskCrash(i, kBad));
+    quarantine.OnCrash(At(500 * i),
+                       DeskCrash(i, 0x10U + static_cast<std::uint64_t>(i)));
+    Answer(quarantine, At(500 * i), {0x50}, 10, kDesks);
+  }
+  CHECK(quarantine.Evaluate(At(1'000)) == TraitSet{kBad});
+  CHECK(quarantine.FindEnd(At(1'000), {kBad}));
+  CHECK_FALSE(quarantine.FindEnd(At(1'000), {0x10}));
+}
+
+TEST_CASE("a request that was answered between crashes is not quarantined") {
+  RequestQuarantine quarantine;
+  for (int i = 0; i < 20; ++i) {
+    quarantine.OnCrash(At(500 * i), DeskCrash(i, kBad));
+    if (i % 2 == 1) {
+      Answer(quarantine, At(500 * i), {kBad}, 1, kDesks);
+    }
+    Answer(quarantine, At(500 * i), {0x50}, 10, kDesks);
+    CHECK_FALSE(Evaluate(quarantine, At(500 * i)));
+  }
+}
+
+TEST_CASE("servers that fail together are not evidence against a request") {
+  RequestQuarantine quarantine;
+  for (int i = 0; i < 20; ++i) {
+    quarantine.OnCrash(At(i), DeskCrash(i, kBad));
+  }
+  Answer(quarantine, At(20), {0x50}, 10, kDesks);
+  CHECK_FALSE(Evaluate(quarantine, At(20)));
+}
+
+TEST_CASE("while a service answers nothing, only a sole suspect is to blame") {
+  for (const bool sole : {true, false}) {
+    RequestQuarantine quarantine;
+    std::optional<TraitSet> quarantined;
+    for (int i = 0; i < 12 && !quarantined; ++i) {
+      const bool other = !sole && i % 2 == 1;
+      quarantine.OnCrash(
+          At(500 * i),
+          DeskCrash(i, other ? 0x10U + static_cast<std::uint64_t>(i) : kBad));
+      quarantined = quarantine.Evaluate(At(500 * i));
+    }
+    CHECK(quarantined == (sole ? std::optional(TraitSet{kBad}) : std::nullopt));
+  }
+}
+
+TEST_CASE("the shared parts of a request in quarantine stay served") {
+  RequestQuarantine quarantine;
+  for (int i = 0; i < 10; ++i) {
+    quarantine.OnCrash(
+        At(500 * i),
+        {ServerId(std::to_string(i)), 1, kEngines, {kBad, {kSystem, 0x10}}});
+    Answer(quarantine, At(500 * i), {0x50}, 10);
+    quarantine.Evaluate(At(500 * i));
+    quarantine.Evaluate(At(500 * i) + RequestQuarantine::kReportTime);
+  }
+  CHECK(quarantine.FindEnd(At(5'000), {kBad, kSystem, 0x10}));
+  CHECK_FALSE(quarantine.FindEnd(At(5'000), {kSystem, 0x10}));
+}
+
 TEST_CASE("entries from elsewhere are bounded and removable") {
   RequestQuarantine quarantine;
   CHECK_FALSE(quarantine.Add(At(0), {}));
