Blame a prompt part only for crashes under three different requests

What callers saw: two requests that crash servers and share a part got all sound requests with that part refused for ten minutes. Cause: the part was a suspect of all crashes and each request of half of them, so the less specific explanation was found first. An answer cleared a suspect only at the instance that relayed it. Fix: crashes have to show three different requests with the part; a request that comes again counts once and is quarantined itself. An answer that clears suspects is announced to all instances. A restriction to the team whose requests crashed servers is not made: each further team could then crash one more server before the part is refused for all.

--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -100,6 +100,11 @@
         quarantine_.OnSuspectMessage(from, *suspect);
       }
       return;
+    case MessageKind::kSuspectAnswered:
+      if (const auto answered = peers::Unpack<SuspectAnsweredMessage>(bytes)) {
+        quarantine_.OnAnsweredMessage(from, *answered);
+      }
+      return;
     case MessageKind::kQuarantine:
       if (const auto quarantine = peers::Unpack<QuarantineMessage>(bytes)) {
         quarantine_.OnQuarantineMessage(from, *quarantine);
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -27,6 +27,7 @@
   kServerCrash = 12,
   kQuarantine = 13,
   kSuspectRequest = 14,
+  kSuspectAnswered = 15,
 };
 
 /** Work that the sender has in flight at one server. */
@@ -292,6 +293,23 @@
   }
 };
 
+/**
+ * A request with these traits, which were suspects of crashes, was answered.
+ * Sent and forwarded like ServerLeavingMessage.
+ */
+struct SuspectAnsweredMessage {
+  std::string service;
+  std::vector<std::uint64_t> traits;
+
+  friend bool operator==(const SuspectAnsweredMessage&,
+                         const SuspectAnsweredMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, traits);
+  }
+};
+
 /**
  * Requests with these traits are in quarantine (`active`) or no longer are.
  * Sent and forwarded like ServerLeavingMessage.
--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -195,14 +195,34 @@
 
 void QuarantineDriver::OnAnswer(const ServiceId& service,
                                 const serving::TraitSet& traits) {
-  for (const serving::TraitSet& lifted :
-       state_.quarantine.OnAnswer(MonotonicNow(), service, traits)) {
+  const auto refuted =
+      state_.quarantine.OnAnswer(MonotonicNow(), service, traits);
+  if (!refuted.suspects.empty()) {
+    peers_.Announce(MessageKind::kSuspectAnswered,
+                    SuspectAnsweredMessage{
+                        service.value(),
+                        {refuted.suspects.begin(), refuted.suspects.end()}},
+                    std::nullopt);
+  }
+  for (const serving::TraitSet& lifted : refuted.entries) {
     LogEntry(Event::kQuarantineLifted, lifted, Source::kOwn);
     Announce(lifted, false);
     Erase(lifted);
   }
 }
 
+void QuarantineDriver::OnAnsweredMessage(
+    const InstanceId& from, const SuspectAnsweredMessage& message) {
+  const auto refuted = state_.quarantine.OnAnswer(
+      MonotonicNow(), ServiceId(message.service),
+      {message.traits.begin(), message.traits.end()});
+  for (const serving::TraitSet& lifted : refuted.entries) {
+    LogEntry(Event::kQuarantineLifted, lifted, Source::kPeer);
+    Erase(lifted);
+  }
+  peers_.Announce(MessageKind::kSuspectAnswered, message, from);
+}
+
 // ------------------------------------------------------------------ entries
 
 void QuarantineDriver::Add(const serving::TraitSet& traits, Source source) {
--- a/apps/edge/quarantine_driver.h
+++ b/apps/edge/quarantine_driver.h
@@ -37,6 +37,8 @@
                       const ServerCrashMessage& message);
   void OnSuspectMessage(const InstanceId& from,
                         const SuspectRequestMessage& message);
+  void OnAnsweredMessage(const InstanceId& from,
+                         const SuspectAnsweredMessage& message);
   void OnQuarantineMessage(const InstanceId& from,
                            const QuarantineMessage& message);
   /** An entry below EntriesPrefix was written or removed. */
--- a/fuzz/edge_messages_fuzz.cc
+++ b/fuzz/edge_messages_fuzz.cc
@@ -30,6 +30,7 @@
   TryUnpack<edge::PermitRequestMessage>(input);
   TryUnpack<edge::ServerCrashMessage>(input);
   TryUnpack<edge::SuspectRequestMessage>(input);
+  TryUnpack<edge::SuspectAnsweredMessage>(input);
   TryUnpack<edge::QuarantineMessage>(input);
   TryUnpack<edge::PermitReplyMessage>(input);
   TryUnpack<edge::AdapterRequestMessage>(input);
--- a/libs/serving/include/figwell/serving/request_quarantine.h
+++ b/libs/serving/include/figwell/serving/request_quarantine.h
@@ -103,6 +103,10 @@
    * suspects of some crashes by chance.
    */
   static constexpr std::size_t kMinCrashes = 4;
+  /**
+   * Different requests with the part among them. Fewer are to blame themselves.
+   */
+  static constexpr std::size_t kMinRequestsOfPart = 3;
   static constexpr double kMinCrashShare = 0.5;
   /** How long after a crash all instances have reported their requests. */
   static constexpr Duration kReportTime = std::chrono::milliseconds(300);
@@ -138,12 +142,19 @@
    * @return the entry that is in quarantine from now on, if any
    */
   std::optional<TraitSet> Evaluate(TimePoint now);
+  /** What an answer refutes. */
+  struct Refuted {
+    /** Entries of the quarantine that have been removed. */
+    std::vector<TraitSet> entries;
+    /** Traits that were suspects of crashes. */
+    TraitSet suspects;
+  };
   /**
-   * A request with these traits was answered by the service.
-   * @return entries of the quarantine that were wrong and have been removed
+   * A request with these traits was answered by the service, here or at another
+   * instance.
    */
-  std::vector<TraitSet> OnAnswer(TimePoint now, const ServiceId& service,
-                                 const TraitSet& traits);
+  Refuted OnAnswer(TimePoint now, const ServiceId& service,
+                   const TraitSet& traits);
 
   /** Adds an entry from elsewhere. @return whether it is new */
   bool Add(TimePoint now, const TraitSet& traits);
@@ -185,10 +196,16 @@
   /** Whether `crashes` suffice to quarantine parts that are their suspects. */
   bool IsEvidenceOfPart(TimePoint now, const Crashes& crashes,
                         const Crashes& all) const;
+  /** Different requests with all of these traits that were waiting. */
+  static std::size_t CountRequests(const Crashes& crashes,
+                                   const TraitSet& traits);
   std::optional<TraitSet> FindLethalRequest(TimePoint now) const;
   std::optional<TraitSet> FindLethalParts(TimePoint now) const;
-  /** These traits are no suspects of the crashes so far. */
-  void Clear(const TraitSet& traits);
+  /**
+   * These traits are no suspects of the crashes so far.
+   * @return those that were
+   */
+  TraitSet Clear(const TraitSet& traits);
   void DropOutdated(TimePoint now);
 
   /** In order of time. */
--- a/libs/serving/src/request_quarantine.cc
+++ b/libs/serving/src/request_quarantine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace figwell::serving {
 namespace {
@@ -145,6 +146,25 @@
          ShareOfSpan(crashes, all) >= kMinCrashShare;
 }
 
+std::size_t RequestQuarantine::CountRequests(const Crashes& crashes,
+                                             const TraitSet& traits) {
+  std::set<std::uint64_t> fingerprints;
+  std::size_t without_fingerprint = 0;
+  for (const Crash* crash : crashes) {
+    for (const SuspectRequest& request : crash->requests) {
+      if (!request.HasAll(traits)) {
+        continue;
+      }
+      if (request.fingerprint == 0) {
+        ++without_fingerprint;
+      } else {
+        fingerprints.insert(request.fingerprint);
+      }
+    }
+  }
+  return fingerprints.size() + without_fingerprint;
+}
+
 std::optional<TraitSet> RequestQuarantine::FindLethalParts(
     TimePoint now) const {
   const Crashes all = UnexplainedCrashes(now, kReportTime);
@@ -177,8 +197,10 @@
   const bool occur_together = std::all_of(
       crashes.begin(), crashes.end(),
       [&](const Crash* crash) { return AnyHasAll(crash->requests, culprits); });
-  return occur_together ? std::optional(FirstOf(culprits, kMaxEntryTraits))
-                        : std::nullopt;
+  return occur_together &&
+                 CountRequests(crashes, culprits) >= kMinRequestsOfPart
+             ? std::optional(FirstOf(culprits, kMaxEntryTraits))
+             : std::nullopt;
 }
 
 void RequestQuarantine::OnCrash(TimePoint now, const CrashReport& report) {
@@ -201,34 +223,41 @@
   return lethal && Add(now, *lethal) ? lethal : std::nullopt;
 }
 
-void RequestQuarantine::Clear(const TraitSet& traits) {
+TraitSet RequestQuarantine::Clear(const TraitSet& traits) {
+  TraitSet cleared;
   for (Crash& crash : crashes_) {
     for (SuspectRequest& request : crash.requests) {
       if (traits.contains(request.fingerprint)) {
-        request.fingerprint = 0;
+        cleared.insert(std::exchange(request.fingerprint, 0));
       }
-      std::erase_if(request.parts,
-                    [&](std::uint64_t part) { return traits.contains(part); });
+      std::erase_if(request.parts, [&](std::uint64_t part) {
+        const bool clears = traits.contains(part);
+        if (clears) {
+          cleared.insert(part);
+        }
+        return clears;
+      });
     }
     std::erase(crash.requests, SuspectRequest{});
   }
+  return cleared;
 }
 
-std::vector<TraitSet> RequestQuarantine::OnAnswer(TimePoint now,
-                                                  const ServiceId& service,
-                                                  const TraitSet& traits) {
+RequestQuarantine::Refuted RequestQuarantine::OnAnswer(TimePoint now,
+                                                       const ServiceId& service,
+                                                       const TraitSet& traits) {
   ++answers_[service];
-  Clear(traits);
-  std::vector<TraitSet> removed;
+  Refuted refuted;
+  refuted.suspects = Clear(traits);
   for (const auto& [entry, end] : entries_) {
     if (end > now && Includes(traits, entry)) {
-      removed.push_back(entry);
+      refuted.entries.push_back(entry);
     }
   }
-  for (const TraitSet& entry : removed) {
+  for (const TraitSet& entry : refuted.entries) {
     entries_.erase(entry);
   }
-  return removed;
+  return refuted;
 }
 
 bool RequestQuarantine::Add(TimePoint now, const TraitSet& traits) {
--- a/libs/serving/tests/request_quarantine_load_test.cc
+++ b/libs/serving/tests/request_quarantine_load_test.cc
@@ -107,9 +107,13 @@
         continue;
       }
       running_.pop_front();
-      for (const TraitSet& lifted : instances_[request.instance].OnAnswer(
-               now_, kEngines, TraitsOf(request.identity))) {
-        for (RequestQuarantine& other : instances_) {
+      const auto refuted = instances_[request.instance].OnAnswer(
+          now_, kEngines, TraitsOf(request.identity));
+      for (RequestQuarantine& other : instances_) {
+        if (!refuted.suspects.empty()) {
+          other.OnAnswer(now_, kEngines, refuted.suspects);
+        }
+        for (const TraitSet& lifted : refuted.entries) {
           other.Remove(lifted);
         }
       }
@@ -234,6 +238,20 @@
   }
 }
 
+TEST_CASE("a part of two requests that crash servers stays served") {
+  const TraitSet parts = {kSystem, kFirstTopic};
+  for (const double per_second : {0.3, 1.25, 10.0}) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      CAPTURE(seed, per_second);
+      Fleet fleet(seed);
+      fleet.SetDownTime(seconds(2));
+      Play(fleet, {.lethal = {{kBad, parts}, {kBad + 1, parts}},
+                   .bad_requests = per_second});
+      CHECK(fleet.sound_refused() == 0);
+    }
+  }
+}
+
 TEST_CASE("no sound request is refused when servers fail for other reasons") {
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     CAPTURE(seed);
--- a/libs/serving/tests/request_quarantine_test.cc
+++ b/libs/serving/tests/request_quarantine_test.cc
@@ -34,7 +34,7 @@
 void Answer(RequestQuarantine& quarantine, TimePoint now, const TraitSet& parts,
             std::uint64_t times, const ServiceId& service = kEngines) {
   for (std::uint64_t i = 0; i < times; ++i) {
-    CHECK(quarantine.OnAnswer(now, service, parts).empty());
+    CHECK(quarantine.OnAnswer(now, service, parts).entries.empty());
   }
 }
 
@@ -194,8 +194,8 @@
 TEST_CASE("an answer to a request with the part lifts its quarantine") {
   RequestQuarantine quarantine;
   CrashServers(quarantine);
-  CHECK(quarantine.OnAnswer(At(4'100), kEngines, {kSystem}).empty());
-  CHECK(quarantine.OnAnswer(At(4'100), kEngines, {kSystem, kBad}) ==
+  CHECK(quarantine.OnAnswer(At(4'100), kEngines, {kSystem}).entries.empty());
+  CHECK(quarantine.OnAnswer(At(4'100), kEngines, {kSystem, kBad}).entries ==
         std::vector<TraitSet>{{kBad}});
   CHECK_FALSE(quarantine.FindEnd(At(4'100), {kBad}));
 }
@@ -274,6 +274,30 @@
   }
 }
 
+TEST_CASE("a part is not to blame for crashes under two requests") {
+  RequestQuarantine quarantine;
+  for (int i = 0; i < 4; ++i) {
+    quarantine.OnCrash(At(500 * i),
+                       {ServerId(std::to_string(i)),
+                        1,
+                        kEngines,
+                        {i % 2 == 0 ? kBad : kBad + 1, {kSystem, 0x10}}});
+    Answer(quarantine, At(500 * i), {0x50}, 10);
+    CHECK_FALSE(Evaluate(quarantine, At(500 * i)));
+  }
+}
+
+TEST_CASE("an answer names the suspects that it clears, for other instances") {
+  RequestQuarantine quarantine;
+  quarantine.OnCrash(At(0), {ServerId("s"), 1, kEngines, {7, {kSystem, 8}}});
+  CHECK(quarantine.OnAnswer(At(1), kEngines, {6, 9}).suspects.empty());
+  CHECK(quarantine.OnAnswer(At(1), kEngines, {6, kSystem}).suspects ==
+        TraitSet{kSystem});
+  CHECK(quarantine.OnAnswer(At(1), kEngines, {7, kSystem, 8}).suspects ==
+        TraitSet{7, 8});
+  CHECK(quarantine.OnAnswer(At(1), kEngines, {7, 8}).suspects.empty());
+}
+
 TEST_CASE("the shared parts of a request in quarantine stay served") {
   RequestQuarantine quarantine;
   for (int i = 0; i < 10; ++i) {
