Know the software version of each server and the beginning of a taken-up stream

Cause: the version in the registry was read and dropped, and so were the headers with which a caller takes a stream up again; the logs could not show which streams are joined from two versions. Change: BackendServer has a hash of the version, attempt_sent the version, the event that a stream continues after and the request that began it. In messages between instances the version takes the place of an unused number, so that earlier builds still read them. No decision uses it.

--- a/apps/edge/log_text.h
+++ b/apps/edge/log_text.h
@@ -23,6 +23,11 @@
                                 : target.model.value() + "/" + target.adapter;
 }
 
+/** The id of a stream's event, for a log field; empty if there is none. */
+inline std::string EventText(const std::optional<std::uint64_t>& event) {
+  return event ? std::to_string(*event) : "";
+}
+
 /** Ids of traits in hexadecimal, separated by commas. */
 inline std::string TraitsText(const serving::TraitSet& traits) {
   return fmt::format("{:x}", fmt::join(traits, ","));
--- a/apps/edge/messages.cc
+++ b/apps/edge/messages.cc
@@ -1,5 +1,7 @@
 #include "messages.h"
 
+#include <bit>
+
 namespace figwell::edge {
 namespace {
 
@@ -24,6 +26,10 @@
   std::int32_t slots = 1;
   bool draining = false;
   bool has_remaining = false;
+  /**
+   * Without `has_remaining` it holds the software version, since earlier builds
+   * accept no further fields and ignore it then.
+   */
   std::int64_t remaining_us = 0;
   std::int64_t started_ms = 0;
   std::vector<HeldModel> models;
@@ -46,7 +52,9 @@
   record.slots = server.slots;
   record.draining = server.draining;
   record.has_remaining = server.remaining.has_value();
-  record.remaining_us = server.remaining.value_or(Duration{0}).count();
+  record.remaining_us = server.remaining
+                            ? server.remaining->count()
+                            : std::bit_cast<std::int64_t>(server.version);
   record.started_ms = server.started_ms;
   for (const auto& [model, adapters] : server.models) {
     record.models.push_back({model, {adapters.begin(), adapters.end()}});
@@ -65,6 +73,8 @@
     server.draining = record.draining;
     if (record.has_remaining) {
       server.remaining = Duration(record.remaining_us);
+    } else {
+      server.version = std::bit_cast<serving::VersionHash>(record.remaining_us);
     }
     server.started_ms = record.started_ms;
     for (const HeldModel& held : record.models) {
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -251,6 +251,10 @@
        {"team", team_.value()},
        {"route", route_->id.value()},
        {"server", choice.server.value()},
+       {"version", fmt::format("{:x}", choice.version)},
+       {"first_request", head_.first_request.value()},
+       {"after", EventText(last_event_number_ ? last_event_number_
+                                              : head_.resume_after)},
        {"target", TargetText(needs_.target)},
        {"prompt", PromptIdText()},
        {"fingerprint", fmt::format("{:x}", suspect_.fingerprint)},
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -51,6 +51,8 @@
   ServerId server;
   /** BackendServer::started_ms of the server when it was chosen. */
   std::int64_t started_ms = 0;
+  /** BackendServer::version. */
+  VersionHash version = 0;
   DomainId domain;
   std::string address;
   /** Estimated time until the request's first event or answer. */
--- a/libs/serving/include/figwell/serving/directory.h
+++ b/libs/serving/include/figwell/serving/directory.h
@@ -15,6 +15,12 @@
 
 namespace figwell::serving {
 
+/**
+ * Hash of the name of a software version; 0 if the server states none.
+ * Versions have no order.
+ */
+using VersionHash = std::uint64_t;
+
 /** A backend server's entry in the registry. */
 struct BackendServer {
   ServerId id;
@@ -30,6 +36,7 @@
    * id.
    */
   std::int64_t started_ms = 0;
+  VersionHash version = 0;
   /** Models that the server holds, each with its adapters. */
   HeldModels models;
 
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -133,6 +133,7 @@
   Choice choice;
   choice.server = server.id;
   choice.started_ms = server.started_ms;
+  choice.version = server.version;
   choice.domain = server.domain;
   choice.address = server.address;
   choice.in_flight = state.in_flight + peers.in_flight;
--- a/libs/serving/src/directory.cc
+++ b/libs/serving/src/directory.cc
@@ -42,11 +42,14 @@
   }
   Entry& entry = found->second;
   entry.expires_at.reset();
+  const bool restarted = entry.server.started_ms != server.started_ms ||
+                         entry.server.address != server.address;
+  if (!restarted && server.version == 0) {
+    server.version = entry.server.version;  // peers may not state it
+  }
   if (entry.server == server) {
     return ServerChange::kUnchanged;
   }
-  const bool restarted = entry.server.started_ms != server.started_ms ||
-                         entry.server.address != server.address;
   const bool began_draining = server.draining && !entry.server.draining;
   entry.server = server;
   if (restarted) {
--- a/libs/serving/tests/directory_test.cc
+++ b/libs/serving/tests/directory_test.cc
@@ -42,6 +42,17 @@
   CHECK(directory.Put(MakeServer("a", 2)) == ServerChange::kRestarted);
 }
 
+TEST_CASE("the version of a server stays known until it starts again") {
+  Directory directory;
+  BackendServer server = MakeServer("a", 1);
+  server.version = 7;
+  directory.Put(server);
+  CHECK(directory.Put(MakeServer("a", 1)) == ServerChange::kUnchanged);
+  CHECK(directory.Find(ServerId("a"))->version == 7);
+  directory.Put(MakeServer("a", 2));
+  CHECK(directory.Find(ServerId("a"))->version == 0);
+}
+
 TEST_CASE("entries that lapsed in an outage have two seconds to return") {
   Directory directory;
   directory.Put(MakeServer("a"));
