Let a stream go on only at the software version that began it

What callers saw: streams that were answered 200 held events of servers of two software versions, within one answer or over their tries, also after all instances had restarted. Cause: no decision used the version of a server, and nothing related a stream that a caller takes up to the attempt that began it. The class of fault: the state of a stream outlives the attempt and the instance, and was taken to be independent of them. Fix: after its first event a stream continues only at servers of the same version. While a service has several versions, the instance that sends a stream's first event announces its version to all, and announces its incomplete streams when a second version appears. With a single version in the last two minutes each stream began at it; the store keeps the versions of that time, so that this holds after a restart of all instances. A stream whose version is unknown or has left is refused at once. Why it works: only known beginnings go on, and one version proves the beginning only if no other has served within the life of a stream.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -136,6 +136,7 @@
               [] {}}),
       permits_(state_, peers_),
       quarantine_(state_, store_, server_http_, peers_, permits_),
+      versions_(state_, store_, peers_),
       registrar_(state_, store_),
       placement_(state_, store_, server_http_, peers_, permits_, registrar_,
                  incarnation_),
@@ -262,7 +263,7 @@
 
 void Edge::OnCallerRequest(http::ExchangePtr exchange) {
   std::make_shared<CallerRequest>(state_, server_http_, placement_, permits_,
-                                  quarantine_, std::move(exchange))
+                                  quarantine_, versions_, std::move(exchange))
       ->Start();
 }
 
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -14,6 +14,7 @@
 #include "request.h"
 #include "shared_view.h"
 #include "state.h"
+#include "version_driver.h"
 
 namespace figwell::edge {
 
@@ -123,6 +124,7 @@
   PeerGroup peers_;
   PermitClient permits_;
   QuarantineDriver quarantine_;
+  VersionDriver versions_;
   Registrar registrar_;
   PlacementDriver placement_;
   StoreFollower configuration_follower_;
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -110,6 +110,11 @@
         quarantine_.OnQuarantineMessage(from, *quarantine);
       }
       return;
+    case MessageKind::kStreamsBegan:
+      if (const auto began = peers::Unpack<StreamsBeganMessage>(bytes)) {
+        versions_.OnMessage(from, *began);
+      }
+      return;
     case MessageKind::kAdapterRequest:
       if (const auto request = peers::Unpack<AdapterRequestMessage>(bytes)) {
         placement_.OnAdapterRequest(*request);
@@ -267,6 +272,7 @@
   if (instances_view_.listed()) {
     UpdateFleetSize(now);
     UpdateFollowing(now);
+    versions_.Tick(now);
   }
   SendStatus(now);
 }
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -171,6 +171,9 @@
   if (change == ServerChange::kAppeared || change == ServerChange::kRestarted) {
     server_of_hash_[StableHash(id.value())] = id;
   }
+  if (const auto* server = state_.directory.Find(id); server != nullptr) {
+    versions_.OnServer(*server);
+  }
   placement_.OnServerChange(id, change);
   if (change != ServerChange::kUpdated) {
     const serving::BackendServer* server = state_.directory.Find(id);
@@ -260,6 +263,7 @@
   }
   peers_.SetRegistered(instances_);
   if (first) {
+    versions_.OnRecordsListed();
     UpdateFleetSize(MonotonicNow());  // later changes are applied at each tick
   }
 }
@@ -269,6 +273,10 @@
     quarantine_.OnStoreEntry(entry);
     return;
   }
+  if (entry.key.starts_with(versions_.RecordsPrefix())) {
+    versions_.OnStoreEntry(entry);
+    return;
+  }
   const std::string prefix = registrar_.InstancesPrefix();
   if (!entry.key.starts_with(prefix)) {
     return;
--- a/apps/edge/log_text.h
+++ b/apps/edge/log_text.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "figwell/core.h"
 #include "figwell/serving.h"
@@ -33,6 +34,9 @@
   return fmt::format("{:x}", fmt::join(traits, ","));
 }
 
+/** Parses TraitsText; skips what is not an id. */
+serving::TraitSet ParseTraits(std::string_view text);
+
 /** Requests per second, for a log field; empty if there is no limit. */
 inline std::string LimitText(const std::optional<double>& per_second) {
   return per_second ? fmt::format("{:g}", *per_second) : "";
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -28,6 +28,7 @@
   kQuarantine = 13,
   kSuspectRequest = 14,
   kSuspectAnswered = 15,
+  kStreamsBegan = 16,
 };
 
 /** Work that the sender has in flight at one server. */
@@ -327,6 +328,23 @@
   }
 };
 
+/**
+ * Streams that began at this software version. Sent and forwarded like
+ * ServerLeavingMessage.
+ */
+struct StreamsBeganMessage {
+  std::uint64_t version = 0;
+  std::vector<std::uint64_t> streams;  ///< see serving::StreamHash
+
+  friend bool operator==(const StreamsBeganMessage&,
+                         const StreamsBeganMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(version, streams);
+  }
+};
+
 /** A request is waiting for an adapter that no server holds. */
 struct AdapterRequestMessage {
   std::string model;
--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 
 #include "log_text.h"
 #include "run_after.h"
@@ -31,23 +30,6 @@
                         !response.error().timed_out;
 }
 
-// Parses TraitsText; skips what is not an id.
-serving::TraitSet ParseTraits(std::string_view text) {
-  constexpr int kHexBase = 16;
-  serving::TraitSet parts;
-  while (!text.empty()) {
-    const std::string_view id = text.substr(0, text.find(','));
-    std::uint64_t part = 0;
-    const auto [end, error] =
-        std::from_chars(id.data(), id.data() + id.size(), part, kHexBase);
-    if (error == std::errc() && end == id.data() + id.size()) {
-      parts.insert(part);
-    }
-    text.remove_prefix(std::min(text.size(), id.size() + 1));
-  }
-  return parts;
-}
-
 }  // namespace
 
 QuarantineDriver::QuarantineDriver(State& state, adapter::StoreClient& store,
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -34,12 +34,13 @@
 CallerRequest::CallerRequest(State& state, http::Client& client,
                              PlacementDriver& placement, PermitClient& permits,
                              QuarantineDriver& quarantine,
-                             http::ExchangePtr caller)
+                             VersionDriver& versions, http::ExchangePtr caller)
     : state_(state),
       client_(client),
       placement_(placement),
       permits_(permits),
       quarantine_(quarantine),
+      versions_(versions),
       caller_(std::move(caller)),
       catalog_(state.catalog),
       arrived_(MonotonicNow()),
@@ -74,10 +75,37 @@
     return;
   }
   BuildNeeds();
+  if (!FindStreamVersion()) {
+    return;
+  }
   SetDeadline();
   StartAttempt();
 }
 
+bool CallerRequest::TakesUpStream() const {
+  return head_.resume_after && route_->resumable &&
+         route_->kind == serving::RequestKind::kStreaming;
+}
+
+bool CallerRequest::FindStreamVersion() {
+  if (!TakesUpStream()) {
+    return true;
+  }
+  needs_.version = versions_.Find(needs_.service, head_.first_request);
+  state_.metrics
+      .GetCounter(
+          "figwell_streams_taken_up_total",
+          telemetry::Label("version", needs_.version ? "known" : "unknown"))
+      .Add();
+  if (!needs_.version) {
+    // It will not be known later either.
+    Refuse(serving::RefusalReason::kNoVersion, std::nullopt,
+           "unknown version of stream " + head_.first_request.value());
+    return false;
+  }
+  return true;
+}
+
 bool CallerRequest::Authenticate() {
   const serving::TeamSpec* team = catalog_->FindTeamOfKey(head_.key);
   if (team != nullptr) {
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -12,6 +12,7 @@
 #include "placement_driver.h"
 #include "quarantine_driver.h"
 #include "state.h"
+#include "version_driver.h"
 
 namespace figwell::edge {
 
@@ -27,7 +28,7 @@
  public:
   CallerRequest(State& state, http::Client& client, PlacementDriver& placement,
                 PermitClient& permits, QuarantineDriver& quarantine,
-                http::ExchangePtr caller);
+                VersionDriver& versions, http::ExchangePtr caller);
   ~CallerRequest();
   CallerRequest(const CallerRequest&) = delete;
   CallerRequest& operator=(const CallerRequest&) = delete;
@@ -45,6 +46,17 @@
   bool Authenticate();
   bool ChargeTeam();
   void BuildNeeds();
+  /** Whether the request takes up a stream that broke off earlier. */
+  bool TakesUpStream() const;
+  /** The request that brought, or is to bring, the stream's first event. */
+  const RequestId& FirstRequest() const {
+    return TakesUpStream() ? head_.first_request : head_.id;
+  }
+  /**
+   * Restricts a stream that is taken up to the version at which it began.
+   * @return false if that is not known; the request was refused then
+   */
+  bool FindStreamVersion();
   void SetDeadline();
   void OnDeadline();
   void OnCallerDisconnected();
@@ -88,6 +100,12 @@
    * @return whether it was refused
    */
   bool RefuseIfAllPaused();
+  /**
+   * Refuses the request if it has not run and no server has the version at
+   * which its stream began.
+   * @return whether it was refused
+   */
+  bool RefuseIfVersionIsGone();
   /** Ends a request that no server can take. */
   void RefuseWithoutServer();
   /** Whether a server holds the model, with or without the adapter. */
@@ -113,6 +131,9 @@
   void OnHead(int status, const http::Headers& headers);
   void OnPiece(std::string_view piece, std::function<void()> resume);
   void OnStreamPiece(std::string_view piece, std::function<void()> resume);
+  /** The first event for the caller: the stream goes on at this version only.
+   */
+  void OnStreamBegan();
   /** Records that `count` complete events have just arrived. */
   void RecordEvents(std::size_t count);
   void OnNonStreamPiece(std::string_view piece, std::function<void()> resume);
@@ -141,6 +162,7 @@
   PlacementDriver& placement_;
   PermitClient& permits_;
   QuarantineDriver& quarantine_;
+  VersionDriver& versions_;
   http::ExchangePtr caller_;
   /** The configuration that applies to this request until its end. */
   serving::CatalogPtr catalog_;
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -194,8 +194,18 @@
   return !needs_.target.adapter.empty() && AnyServerHoldsModel(limited_servers);
 }
 
+bool CallerRequest::RefuseIfVersionIsGone() {
+  if (may_have_run_ || !needs_.version ||
+      state_.directory.HasVersion(needs_.service, *needs_.version)) {
+    return false;
+  }
+  Refuse(serving::RefusalReason::kNoVersion, std::nullopt,
+         fmt::format("no server has version {:x}", *needs_.version));
+  return true;
+}
+
 void CallerRequest::RefuseWithoutServer() {
-  if (RefuseIfAllLimited()) {
+  if (RefuseIfAllLimited() || RefuseIfVersionIsGone()) {
     return;
   }
   if (may_have_run_) {
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -177,11 +177,22 @@
     resume();
     return;
   }
+  if (!relaying_) {
+    OnStreamBegan();
+  }
   RecordFirstByte();
   StartRelay();
   WriteToCaller(std::move(relayed), std::move(resume));
 }
 
+void CallerRequest::OnStreamBegan() {
+  if (!route_->resumable) {
+    return;
+  }
+  needs_.version = choice_.version;
+  versions_.OnBegan(needs_.service, FirstRequest(), choice_.version);
+}
+
 void CallerRequest::OnEnd() {
   call_.reset();
   if (done_) {
@@ -211,6 +222,7 @@
   }
   StartRelay();
   caller_->Finish();
+  state_.stream_versions.OnCompleted(serving::HashOfStream(FirstRequest()));
   Finish("answered");
 }
 
--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -41,6 +41,7 @@
   serving::DemandMeter demand;
   serving::BufferBudget answer_buffers;
   serving::RequestQuarantine quarantine;
+  serving::StreamVersions stream_versions;
   /** Instances in the whole system, this one included. */
   std::size_t instances = 1;
   Random random;
--- /dev/null
+++ b/apps/edge/version_driver.cc
@@ -0,0 +1,194 @@
+#include "version_driver.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+
+#include "log_text.h"
+#include "run_after.h"
+
+namespace figwell::edge {
+namespace {
+
+using std::chrono::milliseconds;
+using telemetry::Event;
+
+// All instances find a new version. All but one of them see its record in the
+// store before they write their own.
+constexpr Duration kMaxSaveDelay = milliseconds(2'000);
+constexpr Duration kTickInterval = milliseconds(5'000);
+// Fits into a datagram.
+constexpr std::size_t kMaxStreamsPerMessage = 100;
+
+}  // namespace
+
+VersionDriver::VersionDriver(State& state, adapter::StoreClient& store,
+                             PeerGroup& peers)
+    : state_(state), store_(store), peers_(peers) {}
+
+// ------------------------------------------------------------------ streams
+
+void VersionDriver::OnServer(const serving::BackendServer& server) {
+  // A draining entry that came from a peer may lack its version.
+  if (server.version == 0 && server.draining) {
+    return;
+  }
+  const TimePoint now = MonotonicNow();
+  if (!state_.stream_versions.OnServer(now, server.service, server.version)) {
+    return;
+  }
+  telemetry::Log(Event::kVersionAppeared, {},
+                 {{"service", server.service.value()},
+                  {"version", fmt::format("{:x}", server.version)},
+                  {"versions", TraitsText(state_.stream_versions.Versions(
+                                   now, server.service))}});
+  if (state_.stream_versions.IsMixed(now, server.service)) {
+    AnnounceStreams(server.service);
+  }
+  SaveSoon(server.service);
+}
+
+void VersionDriver::OnBegan(const ServiceId& service,
+                            const RequestId& first_request,
+                            serving::VersionHash version) {
+  const TimePoint now = MonotonicNow();
+  const serving::StreamHash stream = serving::HashOfStream(first_request);
+  state_.stream_versions.OnBegan(now, service, stream, version);
+  if (state_.stream_versions.IsMixed(now, service)) {
+    Announce(version, {stream});
+  }
+}
+
+void VersionDriver::AnnounceStreams(const ServiceId& service) {
+  for (const auto& [version, streams] :
+       state_.stream_versions.OwnIncomplete(MonotonicNow(), service)) {
+    for (std::size_t begin = 0; begin < streams.size();
+         begin += kMaxStreamsPerMessage) {
+      const std::size_t end =
+          std::min(streams.size(), begin + kMaxStreamsPerMessage);
+      Announce(version, {streams.begin() + static_cast<std::ptrdiff_t>(begin),
+                         streams.begin() + static_cast<std::ptrdiff_t>(end)});
+    }
+  }
+}
+
+void VersionDriver::Announce(serving::VersionHash version,
+                             const std::vector<serving::StreamHash>& streams) {
+  peers_.Announce(MessageKind::kStreamsBegan,
+                  StreamsBeganMessage{version, streams}, std::nullopt);
+}
+
+void VersionDriver::OnMessage(const InstanceId& from,
+                              const StreamsBeganMessage& message) {
+  for (const serving::StreamHash stream : message.streams) {
+    state_.stream_versions.OnBeganElsewhere(MonotonicNow(), stream,
+                                            message.version);
+  }
+  peers_.Announce(MessageKind::kStreamsBegan, message, from);
+}
+
+std::optional<serving::VersionHash> VersionDriver::Find(
+    const ServiceId& service, const RequestId& first_request) const {
+  return records_listed_
+             ? state_.stream_versions.Find(MonotonicNow(), service,
+                                           serving::HashOfStream(first_request))
+             : std::nullopt;
+}
+
+// ------------------------------------------------------------------ records
+
+std::string VersionDriver::RecordsPrefix() const {
+  return state_.settings.store_prefix + "versions/";
+}
+
+void VersionDriver::OnStoreEntry(const serving::LoggedEntry& entry) {
+  const ServiceId service(entry.key.substr(RecordsPrefix().size()));
+  if (entry.removed) {
+    records_.erase(service);
+    return;
+  }
+  records_[service] = {ParseTraits(entry.value), entry.revision};
+  state_.stream_versions.OnRecord(MonotonicNow(), service,
+                                  records_[service].versions);
+}
+
+std::set<serving::VersionHash> VersionDriver::Registered(
+    const ServiceId& service) const {
+  std::set<serving::VersionHash> versions;
+  for (const auto& [id, entry] : state_.directory.entries()) {
+    if (entry.server.service == service && !entry.server.draining) {
+      versions.insert(entry.server.version);
+    }
+  }
+  return versions;
+}
+
+std::set<serving::VersionHash> VersionDriver::Wanted(
+    TimePoint now, const ServiceId& service) const {
+  // Versions that only the record has are kept while they are remembered here,
+  // and never written again after another instance has removed them.
+  std::set<serving::VersionHash> wanted = Registered(service);
+  if (const auto record = records_.find(service); record != records_.end()) {
+    const auto remembered = state_.stream_versions.Versions(now, service);
+    std::set_intersection(record->second.versions.begin(),
+                          record->second.versions.end(), remembered.begin(),
+                          remembered.end(),
+                          std::inserter(wanted, wanted.end()));
+  }
+  return wanted;
+}
+
+void VersionDriver::Tick(TimePoint now) {
+  if (now - last_tick_ < kTickInterval) {
+    return;
+  }
+  last_tick_ = now;
+  std::set<ServiceId> services;
+  for (const auto& [id, entry] : state_.directory.entries()) {
+    OnServer(entry.server);
+    services.insert(entry.server.service);
+  }
+  for (const ServiceId& service : services) {
+    SaveSoon(service);
+  }
+}
+
+void VersionDriver::SaveSoon(const ServiceId& service) {
+  const auto record = records_.find(service);
+  const bool saved = record != records_.end() &&
+                     record->second.versions == Wanted(MonotonicNow(), service);
+  if (saved || !saving_.insert(service).second) {
+    return;
+  }
+  RunAfter(
+      state_.context,
+      Duration(static_cast<std::int64_t>(
+          state_.random.Unit() * static_cast<double>(kMaxSaveDelay.count()))),
+      [this, service] { Save(service); });
+}
+
+void VersionDriver::Save(const ServiceId& service) {
+  saving_.erase(service);
+  const auto record = records_.find(service);
+  const std::set<serving::VersionHash> wanted = Wanted(MonotonicNow(), service);
+  if (record != records_.end() && record->second.versions == wanted) {
+    return;
+  }
+  adapter::Change change;
+  const std::string key = RecordsPrefix() + service.value();
+  change.conditions.push_back(
+      {key, record == records_.end() ? 0 : record->second.revision});
+  change.writes.push_back({key, TraitsText(wanted), 0});
+  store_.Commit(change, [service](const Result<adapter::ChangeResult>& result) {
+    if (!result) {
+      telemetry::Log(Event::kDependencyLost,
+                     fmt::format("saving the versions of {} failed; will retry "
+                                 "at the next check: {}",
+                                 service.value(), result.error().message),
+                     {{"dependency", "store"}});
+    }
+  });
+}
+
+}  // namespace figwell::edge
--- /dev/null
+++ b/apps/edge/version_driver.h
@@ -0,0 +1,75 @@
+#ifndef FIGWELL_APPS_EDGE_VERSION_DRIVER_H_
+#define FIGWELL_APPS_EDGE_VERSION_DRIVER_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "peer_group.h"
+#include "state.h"
+
+namespace figwell::edge {
+
+/**
+ * Tells the peers at which software version streams began while a service has
+ * several, and keeps the versions of each service in the store, where they
+ * outlast this process.
+ */
+class VersionDriver {
+ public:
+  VersionDriver(State& state, adapter::StoreClient& store, PeerGroup& peers);
+
+  /** The registry has this entry. */
+  void OnServer(const serving::BackendServer& server);
+  /** The first event of a stream is about to be sent to its caller. */
+  void OnBegan(const ServiceId& service, const RequestId& first_request,
+               serving::VersionHash version);
+  void OnMessage(const InstanceId& from, const StreamsBeganMessage& message);
+  /**
+   * The version at which a stream may go on; nullopt if it is not known, or if
+   * the records have not been read.
+   */
+  std::optional<serving::VersionHash> Find(
+      const ServiceId& service, const RequestId& first_request) const;
+  /** All records of the store have been read once. */
+  void OnRecordsListed() { records_listed_ = true; }
+  /** A record below RecordsPrefix was written or removed. */
+  void OnStoreEntry(const serving::LoggedEntry& entry);
+  /** Looks at the registry and the records again, now and then. */
+  void Tick(TimePoint now);
+
+  std::string RecordsPrefix() const;
+
+ private:
+  /** The versions of a service as the store has them. */
+  struct Record {
+    std::set<serving::VersionHash> versions;
+    store::Revision revision = 0;
+  };
+
+  void AnnounceStreams(const ServiceId& service);
+  void Announce(serving::VersionHash version,
+                const std::vector<serving::StreamHash>& streams);
+  /** The versions of a service's entries in the registry. */
+  std::set<serving::VersionHash> Registered(const ServiceId& service) const;
+  /** What the store's record is to be. */
+  std::set<serving::VersionHash> Wanted(TimePoint now,
+                                        const ServiceId& service) const;
+  void SaveSoon(const ServiceId& service);
+  void Save(const ServiceId& service);
+
+  State& state_;
+  adapter::StoreClient& store_;
+  PeerGroup& peers_;
+  std::map<ServiceId, Record> records_;
+  /** Services whose records are about to be written. */
+  std::set<ServiceId> saving_;
+  bool records_listed_ = false;
+  TimePoint last_tick_;
+};
+
+}  // namespace figwell::edge
+
+#endif  // FIGWELL_APPS_EDGE_VERSION_DRIVER_H_
--- a/fuzz/edge_messages_fuzz.cc
+++ b/fuzz/edge_messages_fuzz.cc
@@ -31,6 +31,7 @@
   TryUnpack<edge::ServerCrashMessage>(input);
   TryUnpack<edge::SuspectRequestMessage>(input);
   TryUnpack<edge::SuspectAnsweredMessage>(input);
+  TryUnpack<edge::StreamsBeganMessage>(input);
   TryUnpack<edge::QuarantineMessage>(input);
   TryUnpack<edge::PermitReplyMessage>(input);
   TryUnpack<edge::AdapterRequestMessage>(input);
--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -19,6 +19,7 @@
  *   team_rate_limiter.h   TeamRateLimiter: rates and bursts of teams
  *   summary.h             DomainSummary: sums of the reports of a domain
  *   request_quarantine.h   RequestQuarantine: requests that crash servers
+ *   stream_versions.h     StreamVersions: where streams may go on
  *   attempts.h            MayRetry, RetryBudget: retries of failed attempts
  *   leadership.h          PlacementLease: which instance sends orders
  *   permits.h             PermitScheduler: requests to servers with a limit
@@ -51,6 +52,7 @@
 #include "figwell/serving/request_quarantine.h"
 #include "figwell/serving/server_limits.h"
 #include "figwell/serving/spreading.h"
+#include "figwell/serving/stream_versions.h"
 #include "figwell/serving/summary.h"
 #include "figwell/serving/team_rate_limiter.h"
 
--- a/libs/serving/include/figwell/serving/admission.h
+++ b/libs/serving/include/figwell/serving/admission.h
@@ -24,7 +24,8 @@
   kShed,         ///< every server that was tried rejected it
   kPaused,       ///< every server that could take it requested a pause
   kLimited,      ///< every server that could take it is at its limit
-  kQuarantined,  ///< servers crash on its prompt
+  kQuarantined,  ///< servers crash on it
+  kNoVersion,    ///< no server can continue its stream
 };
 
 std::string_view Name(RefusalReason reason);
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -24,6 +24,8 @@
   ServiceId service;
   /** With an empty model, any server of the service can take the request. */
   ModelTarget target;
+  /** The software version of the server, if the request continues a stream. */
+  std::optional<VersionHash> version;
   Tokens prompt_tokens = 0;
   Tokens output_tokens = 0;
   std::vector<PromptPrefix> prefixes;
@@ -244,6 +246,9 @@
   /** Whether requests for the target may be sent there, pauses aside. */
   bool CanServe(TimePoint now, const BackendServer& server,
                 const ServiceId& service, const ModelTarget& target) const;
+  /** The same for a request, whose stream may have begun at some version. */
+  bool CanTake(TimePoint now, const BackendServer& server,
+               const RequestNeeds& needs) const;
   /**
    * Whether the server is paused, or is limited to one request after a pause
    * and has it.
--- a/libs/serving/include/figwell/serving/directory.h
+++ b/libs/serving/include/figwell/serving/directory.h
@@ -128,6 +128,8 @@
   bool IsSameStart(const ServerId& id, std::int64_t started_ms) const;
   /** Whether new requests may be sent to the server. */
   bool IsUsable(const ServerId& id) const;
+  /** Whether a usable server of the service has this version. */
+  bool HasVersion(const ServiceId& service, VersionHash version) const;
   /** Whether another usable server of the same service holds the model. */
   bool IsHeldElsewhere(const ServerId& id, const ModelId& model) const;
 
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -48,6 +48,8 @@
       return "limited";
     case RefusalReason::kQuarantined:
       return "quarantined";
+    case RefusalReason::kNoVersion:
+      return "no_version";
   }
   return "unknown";
 }
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -266,6 +266,12 @@
          Holds(now, server, target);
 }
 
+bool Balancer::CanTake(TimePoint now, const BackendServer& server,
+                       const RequestNeeds& needs) const {
+  return (!needs.version || server.version == *needs.version) &&
+         CanServe(now, server, needs.service, needs.target);
+}
+
 bool Balancer::IsSkipped(TimePoint now, const ServerId& server) const {
   const auto state = servers_.find(server);
   if (state == servers_.end()) {
@@ -287,7 +293,7 @@
   for (const auto& [id, entry] : directory.entries()) {
     // Servers in `needs.tried` count too: a caller that retries may be sent to
     // them.
-    if (!CanServe(now, entry.server, needs.service, needs.target)) {
+    if (!CanTake(now, entry.server, needs)) {
       continue;
     }
     if (!IsSkipped(now, id)) {
@@ -306,8 +312,7 @@
   for (const auto& [id, entry] : directory.entries()) {
     const BackendServer& server = entry.server;
     if (!needs.tried.contains(id) && !needs.at_limit.contains(id) &&
-        CanServe(now, server, needs.service, needs.target) &&
-        !IsSkipped(now, id)) {
+        CanTake(now, server, needs) && !IsSkipped(now, id)) {
       candidates.push_back(&server);
     }
   }
--- a/libs/serving/src/directory.cc
+++ b/libs/serving/src/directory.cc
@@ -140,6 +140,15 @@
   return server != nullptr && !server->draining;
 }
 
+bool Directory::HasVersion(const ServiceId& service,
+                           VersionHash version) const {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
+    const BackendServer& server = item.second.server;
+    return server.service == service && server.version == version &&
+           !server.draining;
+  });
+}
+
 bool Directory::IsHeldElsewhere(const ServerId& id,
                                 const ModelId& model) const {
   const BackendServer* server = Find(id);
--- a/libs/telemetry/include/figwell/telemetry.h
+++ b/libs/telemetry/include/figwell/telemetry.h
@@ -72,6 +72,7 @@
   kServerCrashed = 1611,
   kPromptQuarantined = 1612,
   kQuarantineLifted = 1613,
+  kVersionAppeared = 1614,
   kLeaseAcquired = 1701,
   kLeaseLost = 1702,
   kOrderSent = 1703,
--- a/libs/telemetry/src/event_catalogue.cc
+++ b/libs/telemetry/src/event_catalogue.cc
@@ -49,6 +49,7 @@
     EventInfo{Event::kServerCrashed, "server_crashed", Level::kWarning},
     EventInfo{Event::kPromptQuarantined, "prompt_quarantined", Level::kWarning},
     EventInfo{Event::kQuarantineLifted, "quarantine_lifted", Level::kInfo},
+    EventInfo{Event::kVersionAppeared, "version_appeared", Level::kInfo},
     EventInfo{Event::kLeaseAcquired, "lease_acquired", Level::kInfo},
     EventInfo{Event::kLeaseLost, "lease_lost", Level::kWarning},
     EventInfo{Event::kOrderSent, "order_sent", Level::kInfo},
