Answer requests that outlast the shutdown before the process ends

It happens here: a booking that a server holds for longer than the grace, sent before SIGTERM or 2.5 s after it, got a closed connection. Cause: the end of the stop grace was unknown to requests; the process left the event loop while they waited. Fix: once the process is stopping, each deadline is cut to 600 ms before the end of the grace: the caller gets 504, or 503 if the request has not run, and the server gets the shorter time. What cannot be in time by then is refused when it arrives.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -17,9 +17,11 @@
 // long to send a request; then idle connections are closed.
 constexpr Duration kLastRequestGrace = milliseconds(500);
 constexpr milliseconds kStopPollInterval{50};
-// The platform kills the process at the end of the stop grace. Requests that
-// still run are aborted this long before, so that their callers are notified.
+// The platform kills the process at the end of the stop grace. It ends this
+// long before, and requests that still run are answered as failed in time to
+// send these answers.
 constexpr Duration kStopGraceMargin = milliseconds(400);
+constexpr Duration kLastAnswersTime = milliseconds(200);
 constexpr milliseconds kSettingsPollInterval{1'000};
 
 // The store usually answers within milliseconds, and takes up to a hundred
@@ -368,6 +370,12 @@
   telemetry::Log(Event::kStopping, {},
                  {{"active", std::to_string(state_.active_requests)}});
   callers_.CloseAfterAnswers();
+  state_.stops_at = std::max(
+      *stopping_since_, *stopping_since_ + state_.settings.bounds.stop_grace -
+                            kStopGraceMargin - kLastAnswersTime);
+  for (const auto& [number, on_stopping] : state_.on_stopping) {
+    on_stopping();
+  }
   placement_.Resign();
   registrar_.Leave();
   CheckStopped();
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -43,6 +43,7 @@
       versions_(versions),
       caller_(std::move(caller)),
       catalog_(state.catalog),
+      number_(state.next_request_number++),
       arrived_(MonotonicNow()),
       deadline_(arrived_ + kMaxRequestDuration),
       deadline_timer_(state.context),
@@ -52,7 +53,10 @@
   ++state_.active_requests;
 }
 
-CallerRequest::~CallerRequest() { --state_.active_requests; }
+CallerRequest::~CallerRequest() {
+  state_.on_stopping.erase(number_);
+  --state_.active_requests;
+}
 
 void CallerRequest::Start() {
   head_ = adapter::DecodeRequestHead(caller_->request());
@@ -79,6 +83,12 @@
     return;
   }
   SetDeadline();
+  state_.on_stopping[number_] = [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->done_) {
+      self->SetDeadline();
+    }
+  };
   StartAttempt();
 }
 
@@ -192,6 +202,9 @@
   if (route_->timeout.count() > 0) {
     deadline_ = std::min(deadline_, arrived_ + route_->timeout);
   }
+  if (state_.stops_at) {
+    deadline_ = std::min(deadline_, *state_.stops_at);
+  }
   deadline_timer_.expires_after(Remaining());
   deadline_timer_.async_wait(
       [weak = weak_from_this()](const boost::system::error_code& error) {
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -166,6 +166,8 @@
   http::ExchangePtr caller_;
   /** The configuration that applies to this request until its end. */
   serving::CatalogPtr catalog_;
+  /** Identifies the request in State::on_stopping. */
+  std::uint64_t number_;
   TimePoint arrived_;
   TimePoint deadline_;
   bool done_ = false;
--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -3,6 +3,8 @@
 
 #include <boost/asio.hpp>
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 
 #include "figwell/adapter.h"
@@ -46,6 +48,11 @@
   std::size_t instances = 1;
   Random random;
   std::size_t active_requests = 0;
+  /** Once the process is stopping: all requests are answered before this. */
+  std::optional<TimePoint> stops_at;
+  /** Called when `stops_at` is set; each request has one under its number. */
+  std::map<std::uint64_t, std::function<void()>> on_stopping;
+  std::uint64_t next_request_number = 1;
   /**
    * Marks a server as leaving and announces it to the peers. `started_ms` is
    * the start time of the server process that is leaving.
