Record no beginning of streams whose callers name none

What callers would see: two streams that are taken up without naming their beginning count as one, and the second is joined from two versions. Cause: an empty id was hashed like any other.

--- a/apps/edge/version_driver.cc
+++ b/apps/edge/version_driver.cc
@@ -52,6 +52,9 @@
 void VersionDriver::OnBegan(const ServiceId& service,
                             const RequestId& first_request,
                             serving::VersionHash version) {
+  if (first_request.empty()) {
+    return;  // a caller that does not name it cannot take the stream up
+  }
   const TimePoint now = MonotonicNow();
   const serving::StreamHash stream = serving::HashOfStream(first_request);
   state_.stream_versions.OnBegan(now, service, stream, version);
--- a/libs/serving/include/figwell/serving/stream_versions.h
+++ b/libs/serving/include/figwell/serving/stream_versions.h
@@ -79,7 +79,7 @@
     ServiceId own_service;
   };
 
-  void Insert(StreamHash hash, Stream stream);
+  void Insert(StreamHash hash, const Stream& stream);
 
   std::map<ServiceId, std::map<VersionHash, TimePoint>> last_seen_;
   std::unordered_map<StreamHash, Stream> streams_;
--- a/libs/serving/src/request_quarantine.cc
+++ b/libs/serving/src/request_quarantine.cc
@@ -42,8 +42,8 @@
                                  std::string_view host, std::string_view target,
                                  std::string_view body) {
   std::uint64_t hash = 0;
-  for (const std::string_view field :
-       {std::string_view(team.value()), method, host, target, body}) {
+  const std::string_view team_name = team.value();
+  for (const std::string_view field : {team_name, method, host, target, body}) {
     hash = StableHash(field, MixBits(hash + field.size()));
   }
   return std::max<std::uint64_t>(hash, 1);
--- a/libs/serving/src/stream_versions.cc
+++ b/libs/serving/src/stream_versions.cc
@@ -1,8 +1,5 @@
 #include "figwell/serving/stream_versions.h"
 
-#include <algorithm>
-#include <utility>
-
 namespace figwell::serving {
 
 StreamHash HashOfStream(const RequestId& first_request) {
@@ -38,7 +35,7 @@
   return versions;
 }
 
-void StreamVersions::Insert(StreamHash hash, Stream stream) {
+void StreamVersions::Insert(StreamHash hash, const Stream& stream) {
   const TimePoint now = stream.began_at;
   while (!order_.empty() &&
          (order_.size() >= kMaxStreams ||
@@ -46,7 +43,7 @@
     streams_.erase(order_.front());
     order_.pop_front();
   }
-  if (streams_.try_emplace(hash, std::move(stream)).second) {
+  if (streams_.try_emplace(hash, stream).second) {
     order_.push_back(hash);
   }
 }
