Attribute crashes to a request at once, and to parts once per burst of reports

Cause: each report of a crash evaluated all remembered requests and parts, twice; a server that ends under many requests is reported by many instances. Change: a report evaluates its own fingerprint; parts are evaluated once when the last report of a burst has arrived. Rules and bounds are unchanged.

--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -151,28 +151,53 @@
        {"started_ms", std::to_string(report.started_ms)},
        {"fingerprint", fmt::format("{:x}", report.request.fingerprint)},
        {"parts", TraitsText(report.request.parts)}});
-  state_.quarantine.OnCrash(MonotonicNow(), report);
-  Evaluate(source);
-  RunAfter(state_.context, serving::RequestQuarantine::kReportTime,
-           [this, source] { Evaluate(source); });
+  const TimePoint now = MonotonicNow();
+  state_.quarantine.OnCrash(now, report);
+  if (const auto request =
+          state_.quarantine.EvaluateRequest(now, report.request.fingerprint)) {
+    OnFound(*request, source);
+  }
+  last_report_ = now;
+  if (source == Source::kOwn) {
+    reports_source_ = source;
+  }
+  if (!evaluation_scheduled_) {
+    evaluation_scheduled_ = true;
+    EvaluatePartsLater(serving::RequestQuarantine::kReportTime);
+  }
 }
 
-void QuarantineDriver::Evaluate(Source source) {
-  const auto traits = state_.quarantine.Evaluate(MonotonicNow());
-  if (!traits) {
-    return;
+void QuarantineDriver::EvaluatePartsLater(Duration delay) {
+  RunAfter(state_.context, delay, [this] { EvaluateParts(); });
+}
+
+void QuarantineDriver::EvaluateParts() {
+  const TimePoint now = MonotonicNow();
+  if (const auto parts = state_.quarantine.EvaluateParts(now)) {
+    OnFound(*parts, reports_source_);
+  }
+  const Duration remaining =
+      last_report_ + serving::RequestQuarantine::kReportTime - now;
+  evaluation_scheduled_ = remaining.count() > 0;
+  if (evaluation_scheduled_) {
+    EvaluatePartsLater(remaining);
+  } else {
+    reports_source_ = Source::kPeer;
   }
-  LogEntry(Event::kPromptQuarantined, *traits, Source::kOwn);
+}
+
+void QuarantineDriver::OnFound(const serving::TraitSet& traits, Source source) {
+  LogEntry(Event::kPromptQuarantined, traits, Source::kOwn);
   if (source == Source::kOwn) {
-    Announce(*traits, true);
-    Save(*traits);
+    Announce(traits, true);
+    Save(traits);
     return;
   }
   RunAfter(
       state_.context,
       Duration(static_cast<std::int64_t>(
           state_.random.Unit() * static_cast<double>(kMaxSaveDelay.count()))),
-      [this, traits = *traits] { Save(traits); });
+      [this, traits] { Save(traits); });
 }
 
 void QuarantineDriver::OnAnswer(const ServiceId& service,
--- a/apps/edge/quarantine_driver.h
+++ b/apps/edge/quarantine_driver.h
@@ -60,7 +60,11 @@
   void OnChecked(const ServerProcess& process, const ServiceId& service,
                  bool ended);
   void OnCrash(const serving::CrashReport& report, Source source);
-  void Evaluate(Source source);
+  /** Attributes crashes to parts once all reports of the last have arrived. */
+  void EvaluatePartsLater(Duration delay);
+  void EvaluateParts();
+  /** Has an entry saved that was found here. */
+  void OnFound(const serving::TraitSet& traits, Source source);
   void Add(const serving::TraitSet& traits, Source source);
   void Remove(const serving::TraitSet& traits, Source source);
   static void LogEntry(telemetry::Event event, const serving::TraitSet& traits,
@@ -85,6 +89,10 @@
   PermitClient& permits_;
   /** Broken attempts at servers that are being checked. */
   std::map<ServerProcess, std::vector<serving::SuspectRequest>> checks_;
+  TimePoint last_report_;
+  bool evaluation_scheduled_ = false;
+  /** Own if one of the reports that await evaluation is. */
+  Source reports_source_ = Source::kPeer;
   /** Entries that the store holds, as last seen. */
   std::set<serving::TraitSet> stored_;
 };
--- a/libs/serving/include/figwell/serving/request_quarantine.h
+++ b/libs/serving/include/figwell/serving/request_quarantine.h
@@ -137,11 +137,17 @@
 
   void OnCrash(TimePoint now, const CrashReport& report);
   /**
-   * Attributes the crashes: to requests at once, to parts those that happened
-   * at least kReportTime ago.
+   * Attributes crashes to the request with this fingerprint. There is no need
+   * to wait for reports about other requests.
    * @return the entry that is in quarantine from now on, if any
    */
-  std::optional<TraitSet> Evaluate(TimePoint now);
+  std::optional<TraitSet> EvaluateRequest(TimePoint now,
+                                          std::uint64_t fingerprint);
+  /**
+   * Attributes the crashes that happened at least kReportTime ago to parts.
+   * @return the entry that is in quarantine from now on, if any
+   */
+  std::optional<TraitSet> EvaluateParts(TimePoint now);
   /** What an answer refutes. */
   struct Refuted {
     /** Entries of the quarantine that have been removed. */
@@ -199,7 +205,6 @@
   /** Different requests with all of these traits that were waiting. */
   static std::size_t CountRequests(const Crashes& crashes,
                                    const TraitSet& traits);
-  std::optional<TraitSet> FindLethalRequest(TimePoint now) const;
   std::optional<TraitSet> FindLethalParts(TimePoint now) const;
   /**
    * These traits are no suspects of the crashes so far.
--- a/libs/serving/src/request_quarantine.cc
+++ b/libs/serving/src/request_quarantine.cc
@@ -115,26 +115,22 @@
           ShareOfSpan(crashes, all) >= kMinSoleSuspectShare);
 }
 
-std::optional<TraitSet> RequestQuarantine::FindLethalRequest(
-    TimePoint now) const {
+std::optional<TraitSet> RequestQuarantine::EvaluateRequest(
+    TimePoint now, std::uint64_t fingerprint) {
+  if (fingerprint == 0) {
+    return std::nullopt;
+  }
+  const TraitSet entry{fingerprint};
   const Crashes all = UnexplainedCrashes(now, Duration{0});
-  std::map<std::uint64_t, Crashes> crashes_of;
+  Crashes crashes;
   for (const Crash* crash : all) {
-    std::set<std::uint64_t> fingerprints;
-    for (const SuspectRequest& request : crash->requests) {
-      fingerprints.insert(request.fingerprint);
-    }
-    fingerprints.erase(0);
-    for (const std::uint64_t fingerprint : fingerprints) {
-      crashes_of[fingerprint].push_back(crash);
-    }
-  }
-  for (const auto& [fingerprint, crashes] : crashes_of) {
-    if (IsEvidenceOfRepeat(crashes, all)) {
-      return TraitSet{fingerprint};
+    if (AnyHasAll(crash->requests, entry)) {
+      crashes.push_back(crash);
     }
   }
-  return std::nullopt;
+  return IsEvidenceOfRepeat(crashes, all) && Add(now, entry)
+             ? std::optional(entry)
+             : std::nullopt;
 }
 
 bool RequestQuarantine::IsEvidenceOfPart(TimePoint now, const Crashes& crashes,
@@ -215,12 +211,9 @@
   }
 }
 
-std::optional<TraitSet> RequestQuarantine::Evaluate(TimePoint now) {
-  auto lethal = FindLethalRequest(now);
-  if (!lethal) {
-    lethal = FindLethalParts(now);
-  }
-  return lethal && Add(now, *lethal) ? lethal : std::nullopt;
+std::optional<TraitSet> RequestQuarantine::EvaluateParts(TimePoint now) {
+  const auto parts = FindLethalParts(now);
+  return parts && Add(now, *parts) ? parts : std::nullopt;
 }
 
 TraitSet RequestQuarantine::Clear(const TraitSet& traits) {
--- a/libs/serving/tests/request_quarantine_load_test.cc
+++ b/libs/serving/tests/request_quarantine_load_test.cc
@@ -92,6 +92,7 @@
       for (RequestQuarantine& instance : instances_) {
         instance.OnCrash(now_, {ServerId(std::to_string(server)), start,
                                 kEngines, request.identity});
+        AddToAll(instance.EvaluateRequest(now_, request.identity.fingerprint));
       }
     }
     running_ = std::move(others);
@@ -119,11 +120,7 @@
       }
     }
     for (RequestQuarantine& instance : instances_) {
-      if (const auto parts = instance.Evaluate(now_)) {
-        for (RequestQuarantine& other : instances_) {
-          other.Add(now_, *parts);
-        }
-      }
+      AddToAll(instance.EvaluateParts(now_));
     }
   }
 
@@ -149,6 +146,14 @@
   std::size_t sound_refused() const { return sound_refused_; }
 
  private:
+  void AddToAll(const std::optional<TraitSet>& entry) {
+    for (RequestQuarantine& instance : instances_) {
+      if (entry) {
+        instance.Add(now_, *entry);
+      }
+    }
+  }
+
   static constexpr std::uint64_t kServers = 18;
 
   Random random_;
--- a/libs/serving/tests/request_quarantine_test.cc
+++ b/libs/serving/tests/request_quarantine_test.cc
@@ -40,8 +40,8 @@
 
 // Evaluates once all reports of a crash at `now` have arrived.
 std::optional<TraitSet> Evaluate(RequestQuarantine& quarantine, TimePoint now) {
-  CHECK_FALSE(quarantine.Evaluate(now));
-  return quarantine.Evaluate(now + RequestQuarantine::kReportTime);
+  CHECK_FALSE(quarantine.EvaluateParts(now));
+  return quarantine.EvaluateParts(now + RequestQuarantine::kReportTime);
 }
 
 // Enough crashes under kBad, a second apart; requests with the other parts
@@ -227,13 +227,14 @@
 TEST_CASE("a request under which three servers crashed is quarantined") {
   RequestQuarantine quarantine;
   for (int i = 0; i < 3; ++i) {
-    CHECK_FALSE(quarantine.Evaluate(At(500 * i)));
+    CHECK_FALSE(quarantine.EvaluateRequest(At(500 * i), kBad));
     quarantine.OnCrash(At(500 * i), DeskCrash(i, kBad));
     quarantine.OnCrash(At(500 * i),
                        DeskCrash(i, 0x10U + static_cast<std::uint64_t>(i)));
     Answer(quarantine, At(500 * i), {0x50}, 10, kDesks);
   }
-  CHECK(quarantine.Evaluate(At(1'000)) == TraitSet{kBad});
+  CHECK_FALSE(quarantine.EvaluateRequest(At(1'000), 0x12));
+  CHECK(quarantine.EvaluateRequest(At(1'000), kBad) == TraitSet{kBad});
   CHECK(quarantine.FindEnd(At(1'000), {kBad}));
   CHECK_FALSE(quarantine.FindEnd(At(1'000), {0x10}));
 }
@@ -246,7 +247,7 @@
       Answer(quarantine, At(500 * i), {kBad}, 1, kDesks);
     }
     Answer(quarantine, At(500 * i), {0x50}, 10, kDesks);
-    CHECK_FALSE(Evaluate(quarantine, At(500 * i)));
+    CHECK_FALSE(quarantine.EvaluateRequest(At(500 * i), kBad));
   }
 }
 
@@ -256,7 +257,7 @@
     quarantine.OnCrash(At(i), DeskCrash(i, kBad));
   }
   Answer(quarantine, At(20), {0x50}, 10, kDesks);
-  CHECK_FALSE(Evaluate(quarantine, At(20)));
+  CHECK_FALSE(quarantine.EvaluateRequest(At(20), kBad));
 }
 
 TEST_CASE("while a service answers nothing, only a sole suspect is to blame") {
@@ -268,7 +269,7 @@
       quarantine.OnCrash(
           At(500 * i),
           DeskCrash(i, other ? 0x10U + static_cast<std::uint64_t>(i) : kBad));
-      quarantined = quarantine.Evaluate(At(500 * i));
+      quarantined = quarantine.EvaluateRequest(At(500 * i), kBad);
     }
     CHECK(quarantined == (sole ? std::optional(TraitSet{kBad}) : std::nullopt));
   }
@@ -305,8 +306,8 @@
         At(500 * i),
         {ServerId(std::to_string(i)), 1, kEngines, {kBad, {kSystem, 0x10}}});
     Answer(quarantine, At(500 * i), {0x50}, 10);
-    quarantine.Evaluate(At(500 * i));
-    quarantine.Evaluate(At(500 * i) + RequestQuarantine::kReportTime);
+    quarantine.EvaluateRequest(At(500 * i), kBad);
+    quarantine.EvaluateParts(At(500 * i) + RequestQuarantine::kReportTime);
   }
   CHECK(quarantine.FindEnd(At(5'000), {kBad, kSystem, 0x10}));
   CHECK_FALSE(quarantine.FindEnd(At(5'000), {kSystem, 0x10}));
