--- a/apps/edge/log_text.h
+++ b/apps/edge/log_text.h
@@ -4,7 +4,9 @@
 #include <fmt/format.h>
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -29,13 +31,13 @@
   return event ? std::to_string(*event) : "";
 }
 
-/** Ids of traits in hexadecimal, separated by commas. */
-inline std::string TraitsText(const serving::TraitSet& traits) {
-  return fmt::format("{:x}", fmt::join(traits, ","));
+/** Numbers in hexadecimal, separated by commas. */
+inline std::string IdsText(const std::set<std::uint64_t>& ids) {
+  return fmt::format("{:x}", fmt::join(ids, ","));
 }
 
-/** Parses TraitsText; skips what is not an id. */
-serving::TraitSet ParseTraits(std::string_view text);
+/** Parses IdsText; skips what is not a number. */
+std::set<std::uint64_t> ParseIds(std::string_view text);
 
 /** Requests per second, for a log field; empty if there is no limit. */
 inline std::string LimitText(const std::optional<double>& per_second) {
--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -150,7 +150,7 @@
       {{"server", report.server.value()},
        {"started_ms", std::to_string(report.started_ms)},
        {"fingerprint", fmt::format("{:x}", report.request.fingerprint)},
-       {"parts", TraitsText(report.request.parts)}});
+       {"parts", IdsText(report.request.parts)}});
   const TimePoint now = MonotonicNow();
   state_.quarantine.OnCrash(now, report);
   if (const auto request =
@@ -246,7 +246,7 @@
 
 void QuarantineDriver::LogEntry(Event event, const serving::TraitSet& traits,
                                 Source source) {
-  telemetry::Log(event, Name(source), {{"parts", TraitsText(traits)}});
+  telemetry::Log(event, Name(source), {{"parts", IdsText(traits)}});
 }
 
 void QuarantineDriver::Announce(const serving::TraitSet& traits, bool active) {
@@ -271,13 +271,12 @@
 }
 
 std::string QuarantineDriver::KeyOf(const serving::TraitSet& traits) const {
-  return EntriesPrefix() + TraitsText(traits);
+  return EntriesPrefix() + IdsText(traits);
 }
 
 void QuarantineDriver::OnStoreEntry(const serving::LoggedEntry& entry) {
   const std::string_view key = entry.key;
-  const serving::TraitSet traits =
-      ParseTraits(key.substr(EntriesPrefix().size()));
+  const serving::TraitSet traits = ParseIds(key.substr(EntriesPrefix().size()));
   if (!entry.removed) {
     stored_.insert(traits);
     Add(traits, Source::kStore);
@@ -317,7 +316,7 @@
   adapter::Change change;
   // If another instance has written the entry, the lease expires unused.
   change.conditions.push_back({KeyOf(traits), 0});
-  change.writes.push_back({KeyOf(traits), TraitsText(traits), lease});
+  change.writes.push_back({KeyOf(traits), IdsText(traits), lease});
   store_.Commit(change,
                 [this, traits](const Result<adapter::ChangeResult>& result) {
                   if (!result) {
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -69,7 +69,7 @@
   if (!end) {
     return false;
   }
-  const std::string detail = "traits " + TraitsText(traits_);
+  const std::string detail = "traits " + IdsText(traits_);
   if (may_have_run_) {
     FailRequest(adapter::FailureReason::kBroken, detail);
   } else {
@@ -364,7 +364,7 @@
                   {"sent_to", std::to_string(sent_to)},
                   {"events", std::to_string(attempt_events_)},
                   {"fingerprint", fmt::format("{:x}", suspect_.fingerprint)},
-                  {"parts", TraitsText(suspect_.parts)},
+                  {"parts", IdsText(suspect_.parts)},
                   {"next", retry       ? "other_server"
                            : may_retry ? "no_retry_budget"
                                        : "none"}});
--- a/apps/edge/version_driver.cc
+++ b/apps/edge/version_driver.cc
@@ -41,7 +41,7 @@
   telemetry::Log(Event::kVersionAppeared, {},
                  {{"service", server.service.value()},
                   {"version", fmt::format("{:x}", server.version)},
-                  {"versions", TraitsText(state_.stream_versions.Versions(
+                  {"versions", IdsText(state_.stream_versions.Versions(
                                    now, server.service))}});
   if (state_.stream_versions.IsMixed(now, server.service)) {
     AnnounceStreams(server.service);
@@ -111,7 +111,7 @@
     records_.erase(service);
     return;
   }
-  records_[service] = {ParseTraits(entry.value), entry.revision};
+  records_[service] = {ParseIds(entry.value), entry.revision};
   state_.stream_versions.OnRecord(MonotonicNow(), service,
                                   records_[service].versions);
 }
@@ -182,7 +182,7 @@
   const std::string key = RecordsPrefix() + service.value();
   change.conditions.push_back(
       {key, record == records_.end() ? 0 : record->second.revision});
-  change.writes.push_back({key, TraitsText(wanted), 0});
+  change.writes.push_back({key, IdsText(wanted), 0});
   store_.Commit(change, [service](const Result<adapter::ChangeResult>& result) {
     if (!result) {
       telemetry::Log(Event::kDependencyLost,
