Check servers without an engine only where their service has a health path

What a server would see: GET / without a request id, if its service states no health path. Cause: a missing health path was decoded as /, and the check for an ended process was sent there. Fix: it is empty then, and no such server is checked. What remains: crashes of services without a health path are not seen.

--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -70,7 +70,8 @@
                                    const ServiceId& service) {
   const TimePoint now = MonotonicNow();
   const ServerProcess process{choice.server, choice.started_ms};
-  if (!permits_.MayCall(now, choice.server)) {
+  const auto request = MakeCheckRequest(choice.server, service);
+  if (!request || !permits_.MayCall(now, choice.server)) {
     OnChecked(process, service, false);
     return;
   }
@@ -80,7 +81,7 @@
   limits.piece_timeout = kCheckTimeout;
   limits.fresh_connection = true;
   client_.Fetch(
-      choice.address, MakeCheckRequest(choice.server, service), limits,
+      choice.address, *request, limits,
       [this, process, service](
           const tl::expected<http::Response, http::ClientError>& response) {
         OnChecked(process, service, HasEnded(process.first, response));
@@ -88,13 +89,19 @@
       adapter::MayAnswerInternalCall);
 }
 
-http::Request QuarantineDriver::MakeCheckRequest(
+std::optional<http::Request> QuarantineDriver::MakeCheckRequest(
     const ServerId& server, const ServiceId& service) const {
   const serving::ServiceSpec* spec =
       state_.catalog ? state_.catalog->FindService(service) : nullptr;
-  return spec != nullptr && !spec->engine
-             ? adapter::MakeHealthRequest(server, spec->health_path)
-             : adapter::MakeReportRequest(server);
+  if (spec == nullptr) {
+    return std::nullopt;
+  }
+  if (spec->engine) {
+    return adapter::MakeReportRequest(server);
+  }
+  return spec->health_path.empty() ? std::nullopt
+                                   : std::optional(adapter::MakeHealthRequest(
+                                         server, spec->health_path));
 }
 
 void QuarantineDriver::OnChecked(const ServerProcess& process,
--- a/apps/edge/quarantine_driver.h
+++ b/apps/edge/quarantine_driver.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -55,8 +56,9 @@
   using ServerProcess = std::pair<ServerId, std::int64_t>;
 
   void CheckServer(const serving::Choice& choice, const ServiceId& service);
-  http::Request MakeCheckRequest(const ServerId& server,
-                                 const ServiceId& service) const;
+  /** Nullopt if the service's servers answer no such request. */
+  std::optional<http::Request> MakeCheckRequest(const ServerId& server,
+                                                const ServiceId& service) const;
   void OnChecked(const ServerProcess& process, const ServiceId& service,
                  bool ended);
   void OnCrash(const serving::CrashReport& report, Source source);
--- a/libs/serving/include/figwell/serving/catalog.h
+++ b/libs/serving/include/figwell/serving/catalog.h
@@ -102,6 +102,7 @@
 
 struct ServiceSpec {
   ServiceId id;
+  /** Where its servers tell whether they are healthy; empty if nowhere. */
   std::string health_path;
   int max_connections = 0;
   std::optional<EngineSpec> engine;
