--- a/libs/telemetry/src/metric_catalogue.cc
+++ b/libs/telemetry/src/metric_catalogue.cc
@@ -50,8 +50,13 @@
                "Time from a request to the end of its answer, by route kind"},
     MetricInfo{"figwell_leads", "gauge",
                "Whether this instance orders the backend servers"},
-    MetricInfo{"figwell_prompts_quarantined", "gauge",
-               "Sets of prompt parts whose requests are refused"},
+    MetricInfo{
+        "figwell_prompts_quarantined", "gauge",
+        "Requests and sets of prompt parts that are refused, since servers "
+        "crash on them"},
+    MetricInfo{"figwell_streams_taken_up_total", "counter",
+               "Streams that callers took up, by whether the version that "
+               "began them is known"},
     MetricInfo{"figwell_servers_limited", "gauge",
                "Backend servers that limit the rate of requests"},
     MetricInfo{"figwell_servers_usable", "gauge",
