Share the random save delay, the traits of a request and the check of a record

What was twice: quarantine and version driver both drew the delay before a write that all instances make, with a constant each; request.cc and the load test both joined parts and fingerprint; SaveSoon and Save both compared the record. RunWithin, SuspectRequest::Traits and IsSaved serve both sides now. Completed streams are looked up only on routes that can be resumed, through the driver that also records their beginning. kMinCrashShare stands again below the comment that describes it.

--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -16,9 +16,6 @@
 // A process that ends closes its connections before its listener.
 constexpr Duration kCheckDelay = milliseconds(50);
 constexpr milliseconds kCheckTimeout{600};
-// Several instances find the same entry. All but one of them see it in the
-// store before they write their own.
-constexpr Duration kMaxSaveDelay = milliseconds(2'000);
 constexpr Duration kStoreRetryInterval = milliseconds(1'000);
 
 // Whether the response shows that the server process no longer runs. A timeout
@@ -200,11 +197,8 @@
     Save(traits);
     return;
   }
-  RunAfter(
-      state_.context,
-      Duration(static_cast<std::int64_t>(
-          state_.random.Unit() * static_cast<double>(kMaxSaveDelay.count()))),
-      [this, traits] { Save(traits); });
+  RunWithin(state_.context, state_.random, kMaxSaveDelay,
+            [this, traits] { Save(traits); });
 }
 
 void QuarantineDriver::OnAnswer(const ServiceId& service,
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -183,8 +183,7 @@
   } else {
     suspect_.parts = serving::SharedParts(head_.parts);
   }
-  traits_ = suspect_.parts;
-  traits_.insert(suspect_.fingerprint);
+  traits_ = suspect_.Traits();
   if (!needs_.target.model.empty()) {
     const double ms = static_cast<double>(needs_.prompt_tokens) *
                       state_.balancer.MillisecondsPerToken(needs_.target.model);
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -179,7 +179,7 @@
   serving::RequestNeeds needs_;
   /** By what the request is known if servers crash under it. */
   serving::SuspectRequest suspect_;
-  /** All traits of `suspect_`. */
+  /** SuspectRequest::Traits of `suspect_`. */
   serving::TraitSet traits_;
   boost::asio::steady_timer deadline_timer_;
   boost::asio::steady_timer adapter_timer_;
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -222,7 +222,9 @@
   }
   StartRelay();
   caller_->Finish();
-  state_.stream_versions.OnCompleted(serving::HashOfStream(FirstRequest()));
+  if (route_->resumable) {
+    versions_.OnCompleted(FirstRequest());
+  }
   Finish("answered");
 }
 
--- a/apps/edge/run_after.h
+++ b/apps/edge/run_after.h
@@ -2,6 +2,8 @@
 #define FIGWELL_APPS_EDGE_RUN_AFTER_H_
 
 #include <boost/asio.hpp>
+#include <chrono>
+#include <cstdint>
 #include <memory>
 #include <utility>
 
@@ -23,6 +25,22 @@
   });
 }
 
+/** Runs `handler` once after a random delay of at most `max_delay`. */
+template <typename Handler>
+void RunWithin(boost::asio::io_context& context, Random& random,
+               Duration max_delay, Handler handler) {
+  RunAfter(context,
+           Duration(static_cast<std::int64_t>(
+               random.Unit() * static_cast<double>(max_delay.count()))),
+           std::move(handler));
+}
+
+/**
+ * Maximum delay before an instance writes to the store what all instances have
+ * found. All but one of them see it there before they write it themselves.
+ */
+inline constexpr Duration kMaxSaveDelay = std::chrono::milliseconds(2'000);
+
 }  // namespace figwell::edge
 
 #endif  // FIGWELL_APPS_EDGE_RUN_AFTER_H_
--- a/apps/edge/version_driver.cc
+++ b/apps/edge/version_driver.cc
@@ -14,9 +14,6 @@
 using std::chrono::milliseconds;
 using telemetry::Event;
 
-// All instances find a new version. All but one of them see its record in the
-// store before they write their own.
-constexpr Duration kMaxSaveDelay = milliseconds(2'000);
 constexpr Duration kTickInterval = milliseconds(5'000);
 // Fits into a datagram.
 constexpr std::size_t kMaxStreamsPerMessage = 100;
@@ -63,6 +60,10 @@
   }
 }
 
+void VersionDriver::OnCompleted(const RequestId& first_request) {
+  state_.stream_versions.OnCompleted(serving::HashOfStream(first_request));
+}
+
 void VersionDriver::AnnounceStreams(const ServiceId& service) {
   for (const auto& [version, streams] :
        state_.stream_versions.OwnIncomplete(MonotonicNow(), service)) {
@@ -157,32 +158,31 @@
   }
 }
 
-void VersionDriver::SaveSoon(const ServiceId& service) {
+bool VersionDriver::IsSaved(const ServiceId& service) const {
   const auto record = records_.find(service);
-  const bool saved = record != records_.end() &&
-                     record->second.versions == Wanted(MonotonicNow(), service);
-  if (saved || !saving_.insert(service).second) {
+  return record != records_.end() &&
+         record->second.versions == Wanted(MonotonicNow(), service);
+}
+
+void VersionDriver::SaveSoon(const ServiceId& service) {
+  if (IsSaved(service) || !saving_.insert(service).second) {
     return;
   }
-  RunAfter(
-      state_.context,
-      Duration(static_cast<std::int64_t>(
-          state_.random.Unit() * static_cast<double>(kMaxSaveDelay.count()))),
-      [this, service] { Save(service); });
+  RunWithin(state_.context, state_.random, kMaxSaveDelay,
+            [this, service] { Save(service); });
 }
 
 void VersionDriver::Save(const ServiceId& service) {
   saving_.erase(service);
-  const auto record = records_.find(service);
-  const std::set<serving::VersionHash> wanted = Wanted(MonotonicNow(), service);
-  if (record != records_.end() && record->second.versions == wanted) {
+  if (IsSaved(service)) {
     return;
   }
+  const auto record = records_.find(service);
   adapter::Change change;
   const std::string key = RecordsPrefix() + service.value();
   change.conditions.push_back(
       {key, record == records_.end() ? 0 : record->second.revision});
-  change.writes.push_back({key, IdsText(wanted), 0});
+  change.writes.push_back({key, IdsText(Wanted(MonotonicNow(), service)), 0});
   store_.Commit(change, [service](const Result<adapter::ChangeResult>& result) {
     if (!result) {
       telemetry::Log(Event::kDependencyLost,
--- a/apps/edge/version_driver.h
+++ b/apps/edge/version_driver.h
@@ -26,6 +26,8 @@
   /** The first event of a stream is about to be sent to its caller. */
   void OnBegan(const ServiceId& service, const RequestId& first_request,
                serving::VersionHash version);
+  /** The caller of a stream that began here has all of it. */
+  void OnCompleted(const RequestId& first_request);
   void OnMessage(const InstanceId& from, const StreamsBeganMessage& message);
   /**
    * The version at which a stream may go on; nullopt if it is not known, or if
@@ -57,6 +59,8 @@
   /** What the store's record is to be. */
   std::set<serving::VersionHash> Wanted(TimePoint now,
                                         const ServiceId& service) const;
+  /** Whether the store's record is as wanted. */
+  bool IsSaved(const ServiceId& service) const;
   void SaveSoon(const ServiceId& service);
   void Save(const ServiceId& service);
 
--- a/libs/serving/include/figwell/serving/request_quarantine.h
+++ b/libs/serving/include/figwell/serving/request_quarantine.h
@@ -47,6 +47,8 @@
   /** See SharedParts. */
   TraitSet parts;
 
+  /** Its parts and its fingerprint. */
+  TraitSet Traits() const;
   /** Whether the request has all of these traits. */
   bool HasAll(const TraitSet& traits) const;
   friend bool operator==(const SuspectRequest&,
@@ -103,11 +105,11 @@
    * suspects of some crashes by chance.
    */
   static constexpr std::size_t kMinCrashes = 4;
+  static constexpr double kMinCrashShare = 0.5;
   /**
    * Different requests with the part among them. Fewer are to blame themselves.
    */
   static constexpr std::size_t kMinRequestsOfPart = 3;
-  static constexpr double kMinCrashShare = 0.5;
   /** How long after a crash all instances have reported their requests. */
   static constexpr Duration kReportTime = std::chrono::milliseconds(300);
   /**
--- a/libs/serving/src/request_quarantine.cc
+++ b/libs/serving/src/request_quarantine.cc
@@ -49,6 +49,12 @@
   return std::max<std::uint64_t>(hash, 1);
 }
 
+TraitSet SuspectRequest::Traits() const {
+  TraitSet traits = parts;
+  traits.insert(fingerprint);
+  return traits;
+}
+
 bool SuspectRequest::HasAll(const TraitSet& traits) const {
   return std::all_of(traits.begin(), traits.end(), [&](std::uint64_t trait) {
     return trait == fingerprint || parts.contains(trait);
--- a/libs/serving/tests/request_quarantine_load_test.cc
+++ b/libs/serving/tests/request_quarantine_load_test.cc
@@ -38,12 +38,6 @@
   bool lethal = false;
 };
 
-TraitSet TraitsOf(const SuspectRequest& request) {
-  TraitSet traits = request.parts;
-  traits.insert(request.fingerprint);
-  return traits;
-}
-
 class Fleet {
  public:
   explicit Fleet(std::uint64_t seed) : random_(seed) {}
@@ -52,7 +46,7 @@
   // it.
   void Send(const SuspectRequest& identity, bool lethal) {
     const std::size_t instance = random_.Below(kInstances);
-    if (instances_[instance].FindEnd(now_, TraitsOf(identity))) {
+    if (instances_[instance].FindEnd(now_, identity.Traits())) {
       ++refused_;
       sound_refused_ += lethal ? 0 : 1;
       return;
@@ -109,7 +103,7 @@
       }
       running_.pop_front();
       const auto refuted = instances_[request.instance].OnAnswer(
-          now_, kEngines, TraitsOf(request.identity));
+          now_, kEngines, request.identity.Traits());
       for (RequestQuarantine& other : instances_) {
         if (!refuted.suspects.empty()) {
           other.OnAnswer(now_, kEngines, refuted.suspects);
