--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,5 +1,9 @@
-"""After a loss of power, with the store back from an older copy, servers get orders
-with a lower fencing token than before."""
+"""After the store came back from an older copy, servers get orders with a lower
+fencing token than before, from another machine.
+
+VARIANT=add (default): a machine is added after the drill. VARIANT=power: all machines
+lose power as it begins. VARIANT=power_only: they do, and there is no drill.
+"""
 
 import os
 import sys
@@ -15,6 +19,7 @@
 AWAY_S = 0.5  # "away for a moment"
 RESTART_S = 1.0  # "restarted after a short delay"
 WATCHED_S = 12.0
+VARIANT = os.environ.get("VARIANT", "add")
 
 
 def configuration():
@@ -74,16 +79,21 @@
     fence = max((o[3] for o in orders(world)), default=0)
     world.record("orders so far: %d, highest fencing token %d, store at revision %d" % (
         len(orders(world)), fence, world.store.revision))
-    if TROUBLE:
+    if VARIANT != "add" and TROUBLE:
         for edge in world.edges:
             edge.child.kill()
-        world.record("all machines lose power")
         for edge in world.edges:
             edge.child.wait()
-        if os.environ.get("ONLY_POWER") != "1":
-            lost, revision = world.store.drill(COPY_AGE_S, AWAY_S)
-            world.record("the store is back from a copy %.1f s old, without the last %d revisions; "
-                         "now at revision %d, era %d" % (COPY_AGE_S, lost, revision, world.store.era))
+        world.record("all machines lose power")
+    if VARIANT != "power_only" and TROUBLE:
+        lost, revision = world.store.drill(COPY_AGE_S, AWAY_S)
+        world.record("the store is back from a copy %.1f s old, without the last %d revisions; "
+                     "now at revision %d, era %d" % (COPY_AGE_S, lost, revision, world.store.era))
+    if VARIANT == "add":
+        world.add_edges(1)
+        callers.append(Caller(world, world.edges[-1], EDGES * 20))
+        world.record("%s is added" % world.edges[-1].name)
+    elif TROUBLE:
         time.sleep(RESTART_S - AWAY_S)
         for edge in world.edges:
             edge.start()
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -449,7 +449,8 @@
                                      ZONES[number % len(ZONES)], **options))
 
     def add_edges(self, count):
-        for number in range(count):
+        for _ in range(count):
+            number = len(self.edges)
             self.edges.append(Edge(self, number, ZONES[number % len(ZONES)]))
 
     def await_serving(self, path, fields, timeout_s=30):
