--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -377,6 +377,8 @@
         self.start()
 
     def start(self):
+        if self.world.stopped:
+            return
         environment = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         environment["FIGWELL_BOOT"] = self.settings
         with open(self.log, "ab") as log:
@@ -428,6 +430,7 @@
             raise CannotRun("not built: " + self.role["run"].split()[0])
         self.net = (random.randrange(10, 250), random.randrange(1, 250))
         self.servers, self.edges = [], []
+        self.stopped = False
         self.version = 0
         self.store = Store()
         handler = type("Handler", (StoreHandler,), {"store": self.store})
@@ -472,6 +475,7 @@
                 time.sleep(0.05)
 
     def stop(self):
+        self.stopped = True
         for server in self.servers:
             server.ended = True
         for edge in self.edges:
@@ -506,6 +510,7 @@
 def main(folder, scenario):
     """Runs `scenario(world)`, which returns the list of violations."""
     random.seed()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends what was started
     world = None
     try:
         world = World(folder)
