End leadership with the store's era, and keep the peers' secret over it

What else was taken to hold over a restore: the lease of a leader that has not heard of it, the key that names an earlier process of the machine, the peers' secret, and the instance's registration.

PlacementLease ends in a new era. Who has the key then waits until a lease from before must have ended, unless the store says that an instance has led in this era; the process that led until then leads on once it has the key again. A lost secret is written again; where a new one was created meanwhile, both are accepted. Instances register again at once.

--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -272,6 +272,9 @@
         leader_record_ = {entry.key, entry.value, 0, entry.revision, 0};
       }
     }
+    if (entry.key == placement_.EraKey()) {
+      placement_.OnEraRecord(entry.removed ? "" : entry.value);
+    }
     ApplyInstanceEntry(entry);
   }
   if (changed) {
--- a/apps/edge/peer_group.cc
+++ b/apps/edge/peer_group.cc
@@ -32,7 +32,9 @@
       settings_(settings),
       incarnation_(incarnation),
       callbacks_(std::move(callbacks)),
-      timer_(context) {}
+      timer_(context) {
+  store_.OnNewEra([this](store::Era) { ReadSecret(); });
+}
 
 std::string PeerGroup::SecretKey() const {
   return settings_.store_prefix + "secret";
@@ -56,7 +58,8 @@
 void PeerGroup::WriteSecret() {
   adapter::Change change;
   change.conditions.push_back({SecretKey(), 0});
-  change.writes.push_back({SecretKey(), RandomHex(kSecretBytes), 0});
+  change.writes.push_back(
+      {SecretKey(), secret_.empty() ? RandomHex(kSecretBytes) : secret_, 0});
   // Another process may have written the secret first, and the outcome of the
   // write may be unknown, so the secret is always read back.
   store_.Commit(change, [this](const Result<adapter::ChangeResult>&) {
@@ -74,12 +77,25 @@
 }
 
 void PeerGroup::OnSecret(const std::string& secret) {
+  if (node_ && secret != secret_) {
+    telemetry::Log(Event::kSecretAdded,
+                   "the store has another peers' secret since it was restored; "
+                   "accepting both");
+    node_->AddSecret(secret);
+  }
+  secret_ = secret;
+  if (!node_) {
+    StartNode();
+  }
+}
+
+void PeerGroup::StartNode() {
   peers::PeerSettings settings;
   settings.instance = settings_.instance;
   settings.domain = settings_.failure_domain;
   settings.listen = settings_.listen_peers;
   settings.admin_address = settings_.listen_metrics;
-  settings.secrets = {secret};
+  settings.secrets = {secret_};
   settings.incarnation = incarnation_;
   settings.random_seed = StableHash(settings_.instance.value(), incarnation_);
   peers::PeerCallbacks callbacks;
--- a/apps/edge/peer_group.h
+++ b/apps/edge/peer_group.h
@@ -37,7 +37,9 @@
 /**
  * Membership of this process in the group of peers, and sending to them. The
  * shared secret is read from the store, where the first process creates it;
- * until it is known, there are no peers.
+ * until it is known, there are no peers. After a restore of the store it may be
+ * missing there, or another process may have created a new one: it is written
+ * again, or the new one is accepted, too.
  */
 class PeerGroup {
  public:
@@ -144,6 +146,7 @@
   void Leave();
 
  private:
+  void StartNode();
   void ReadSecret();
   void WriteSecret();
   void OnSecret(const std::string& secret);
@@ -171,6 +174,7 @@
   PeerCallbacks callbacks_;
   boost::asio::steady_timer timer_;
   std::unique_ptr<peers::PeerNode> node_;
+  std::string secret_;  ///< the one in the store, once it was read
   std::map<InstanceId, Registration> registered_;
   std::int64_t configuration_number_ = 0;
   std::string configuration_;
--- a/apps/edge/placement_driver.cc
+++ b/apps/edge/placement_driver.cc
@@ -61,12 +61,18 @@
           {state.settings.instance, state.settings.listen_peers, incarnation},
           {state.settings.bounds.order_separation,
            state.settings.bounds.order_thaw,
-           state.settings.bounds.shortest_lease}) {}
+           state.settings.bounds.shortest_lease}) {
+  store_.OnNewEra([this](store::Era) { OnNewEra(); });
+}
 
 std::string PlacementDriver::LeaderKey() const {
   return state_.settings.store_prefix + "placement/holder";
 }
 
+std::string PlacementDriver::EraKey() const {
+  return state_.settings.store_prefix + "placement/era";
+}
+
 void PlacementDriver::Start() { Tick(); }
 
 void PlacementDriver::Tick() {
@@ -118,6 +124,9 @@
   adapter::Change change;
   change.conditions.push_back({action.key, action.expected});
   change.writes.push_back({action.key, action.value, action.lease});
+  if (action.has_led && !IsEraRecorded()) {
+    change.writes.push_back({EraKey(), std::to_string(store_.era()), 0});
+  }
   store_.Commit(change, [this](const Result<adapter::ChangeResult>& result) {
     lease_.OnAcquired(
         MonotonicNow(),
@@ -148,6 +157,7 @@
 
 void PlacementDriver::OnLeaderRecord(
     const std::optional<store::KeyValue>& record) {
+  lease_.SetLedSinceRestore(IsEraRecorded());
   lease_.OnLeaderRecord(MonotonicNow(), record);
   leader_.reset();
   if (record) {
@@ -155,6 +165,20 @@
   }
 }
 
+bool PlacementDriver::IsEraRecorded() const {
+  return led_in_era_ == store_.era();
+}
+
+void PlacementDriver::OnEraRecord(const std::string& record) {
+  led_in_era_ = ParseInteger(record).value_or(0);
+  lease_.SetLedSinceRestore(IsEraRecorded());
+}
+
+void PlacementDriver::OnNewEra() {
+  lease_.OnNewEra(MonotonicNow());
+  lease_.SetLedSinceRestore(IsEraRecorded());
+}
+
 void PlacementDriver::UpdateLeadership(TimePoint now) {
   const bool leads = lease_.Leads(now);
   if (leads == was_leading_) {
--- a/apps/edge/placement_driver.h
+++ b/apps/edge/placement_driver.h
@@ -31,6 +31,8 @@
   void Start();
   /** The leader's key changed in the store; nullopt: it does not exist. */
   void OnLeaderRecord(const std::optional<store::KeyValue>& record);
+  /** The record of the era in which an instance has led; empty if removed. */
+  void OnEraRecord(const std::string& record);
   void OnDemand(const InstanceId& from, const DemandMessage& message);
   void OnAdapterRequest(const AdapterRequestMessage& message);
   void OnServerChange(const ServerId& server, serving::ServerChange change);
@@ -46,6 +48,8 @@
   void UpdateTakeoverDelay(std::size_t instances, bool follows_store);
 
   std::string LeaderKey() const;
+  /** Where a leader records the store's era; see SetLedSinceRestore. */
+  std::string EraKey() const;
   /** The instance that holds the leader key, as last seen in the store. */
   const std::optional<InstanceId>& leader() const { return leader_; }
 
@@ -61,6 +65,9 @@
   void Execute(const serving::RenewLease& action);
   void Execute(const serving::AcquireKey& action);
   void Execute(const serving::ReadKey& action);
+  void OnNewEra();
+  /** Whether an instance is known to have led in the store's era. */
+  bool IsEraRecorded() const;
   void UpdateLeadership(TimePoint now);
 
   void ReadReports(TimePoint now, const ServiceId& service);
@@ -95,6 +102,7 @@
   serving::PlacementLease lease_;
   bool was_leading_ = false;
   std::optional<InstanceId> leader_;
+  store::Era led_in_era_ = 0;  ///< as recorded in the store
 
   serving::OrderTracker order_tracker_;
   serving::DemandForecast forecast_;
--- a/apps/edge/registrar.cc
+++ b/apps/edge/registrar.cc
@@ -23,7 +23,14 @@
 }  // namespace
 
 Registrar::Registrar(State& state, adapter::StoreClient& store)
-    : state_(state), store_(store) {}
+    : state_(state), store_(store) {
+  store_.OnNewEra([this](store::Era) { OnNewEra(); });
+}
+
+void Registrar::OnNewEra() {
+  lease_ = 0;
+  next_call_ = MonotonicNow();
+}
 
 std::string Registrar::InstancesPrefix() const {
   return state_.settings.store_prefix + "instances/";
--- a/apps/edge/registrar.h
+++ b/apps/edge/registrar.h
@@ -28,6 +28,8 @@
 
  private:
   void Register();
+  /** The store was restored: the entry is written again under a new lease. */
+  void OnNewEra();
   void OnCallResult(TimePoint now, const std::optional<Error>& error);
 
   State& state_;
--- a/libs/peers/include/figwell/peers.h
+++ b/libs/peers/include/figwell/peers.h
@@ -269,7 +269,10 @@
   std::string listen{};  ///< `IP:PORT`; port 0 binds any free port
   std::string admin_address{};
   std::vector<std::string> seeds{};  ///< `IP:PORT`
-  /** One or two, for rotation: the first signs, all are accepted. */
+  /**
+   * All are accepted. A message is signed with the one that its recipient used
+   * last, or else with the first.
+   */
   std::vector<std::string> secrets{};
   /** Increases with each start, such as wall-clock microseconds; above 0. */
   std::uint64_t incarnation = 0;
@@ -342,6 +345,8 @@
    */
   std::size_t BroadcastInDomain(std::uint16_t kind, std::string_view bytes);
 
+  /** Accepts another secret; members that sign with it are answered with it. */
+  void AddSecret(std::string secret);
   /** Addresses (`IP:PORT`) of the platform's instance list: hints only. */
   void SetInstanceHints(std::vector<std::string> addresses);
   /**
--- a/libs/peers/src/agent.cc
+++ b/libs/peers/src/agent.cc
@@ -174,6 +174,19 @@
   AppendMessages(now, out, actions);
 }
 
+void PeerAgent::AddSecret(std::string secret) {
+  std::vector<std::string>& secrets = settings_.secrets;
+  if (std::find(secrets.begin(), secrets.end(), secret) == secrets.end()) {
+    secrets.push_back(std::move(secret));
+  }
+}
+
+const std::string& PeerAgent::SecretFor(Recipient recipient) const {
+  const auto found = secret_of_member_.find(recipient);
+  return settings_
+      .secrets[found == secret_of_member_.end() ? 0 : found->second];
+}
+
 std::string PeerAgent::SealMessage(MessageKind kind, Recipient recipient,
                                    std::string_view payload) {
   return Seal({.kind = kind,
@@ -182,7 +195,7 @@
                .incarnation = membership_.self().incarnation,
                .sequence = ++sequence_,
                .payload = payload},
-              settings_.secrets.front());
+              SecretFor(recipient));
 }
 
 void PeerAgent::AppendMessages(TimePoint now, OutgoingList& out,
--- a/libs/peers/src/agent.h
+++ b/libs/peers/src/agent.h
@@ -93,6 +93,7 @@
   void RefreshMembers(TimePoint now, AgentActions& actions);
   void Drain(TimePoint now, AgentActions& actions);
   void Leave(TimePoint now, AgentActions& actions);
+  void AddSecret(std::string secret);
   void SetHints(std::vector<std::string> addresses) {
     membership_.SetHints(std::move(addresses));
   }
@@ -137,6 +138,8 @@
                   const std::string& payload, AgentActions& actions);
   std::string SealMessage(MessageKind kind, Recipient recipient,
                           std::string_view payload);
+  /** The secret that the recipient used last, as far as it is known. */
+  const std::string& SecretFor(Recipient recipient) const;
   RelayView MakeView(TimePoint now);
   void CheckDenialsSynced(TimePoint now);
 
@@ -145,6 +148,8 @@
   ConfigurationRelay relay_;
   DenialSet denials_;
   ReplayFilter replays_;
+  /** Members that last signed with another secret than the first; its index. */
+  std::map<Recipient, std::size_t> secret_of_member_;
   Counters counters_;
   ReachabilityStatus reachability_status_;
   std::string payload_;
--- a/libs/peers/src/agent_messages.cc
+++ b/libs/peers/src/agent_messages.cc
@@ -13,6 +13,10 @@
 
 bool AllowsAnyRecipient(MessageKind kind) { return kind == MessageKind::kPing; }
 
+// A bound on memory. Members start again with the newest secret, so that more
+// of them at once are not expected.
+constexpr std::size_t kMaxMembersWithOtherSecret = ReplayFilter::kMaxSenders;
+
 bool IsFrame(MessageKind kind) { return kind >= MessageKind::kFetchRequest; }
 
 }  // namespace
@@ -29,6 +33,12 @@
     Drop(envelope.error());
     return std::nullopt;
   }
+  const Recipient sender = RecipientOf(envelope->sender, envelope->incarnation);
+  if (envelope->secret == 0) {
+    secret_of_member_.erase(sender);
+  } else if (secret_of_member_.size() < kMaxMembersWithOtherSecret) {
+    secret_of_member_[sender] = envelope->secret;
+  }
   return *envelope;
 }
 
--- a/libs/peers/src/envelope.cc
+++ b/libs/peers/src/envelope.cc
@@ -19,13 +19,18 @@
   return number;
 }
 
-bool HasValidTag(std::string_view signed_bytes, std::string_view tag_bytes,
-                 const std::vector<std::string>& secrets) {
+// The index of the secret that the tag was made with; the number of secrets if
+// it was made with none of them.
+std::size_t SecretOfTag(std::string_view signed_bytes,
+                        std::string_view tag_bytes,
+                        const std::vector<std::string>& secrets) {
   Digest tag;
   std::memcpy(tag.bytes.data(), tag_bytes.data(), kDigestBytes);
-  return std::any_of(secrets.begin(), secrets.end(), [&](const auto& secret) {
-    return ConstantTimeEqual(HmacSha256(secret, signed_bytes), tag);
-  });
+  const auto secret =
+      std::find_if(secrets.begin(), secrets.end(), [&](const auto& candidate) {
+        return ConstantTimeEqual(HmacSha256(candidate, signed_bytes), tag);
+      });
+  return static_cast<std::size_t>(secret - secrets.begin());
 }
 
 }  // namespace
@@ -65,7 +70,9 @@
     return tl::unexpected(DropReason::kUnknownVersion);
   }
   std::string_view rest = bytes.substr(0, bytes.size() - kDigestBytes);
-  if (!HasValidTag(rest, bytes.substr(rest.size()), secrets)) {
+  const std::size_t secret =
+      SecretOfTag(rest, bytes.substr(rest.size()), secrets);
+  if (secret == secrets.size()) {
     return tl::unexpected(DropReason::kBadTag);
   }
   const auto kind = static_cast<std::uint8_t>(rest[1]);
@@ -86,6 +93,7 @@
   envelope.incarnation = ReadNumber(rest);
   envelope.sequence = ReadNumber(rest);
   envelope.payload = rest;
+  envelope.secret = secret;
   return envelope;
 }
 
--- a/libs/peers/src/envelope.h
+++ b/libs/peers/src/envelope.h
@@ -39,6 +39,8 @@
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
   std::string_view payload{};  ///< points into the bytes passed to Open
+  /** Index of the secret with which the message was signed; set by Open. */
+  std::size_t secret = 0;
 };
 
 /** Encodes and signs. Precondition: sender of 1 to kMaxSenderBytes bytes. */
--- a/libs/peers/src/node_api.cc
+++ b/libs/peers/src/node_api.cc
@@ -56,6 +56,13 @@
   });
 }
 
+void PeerNode::AddSecret(std::string secret) {
+  impl_->Run([&](PeerAgent& agent, AgentActions& /*actions*/) {
+    agent.AddSecret(std::move(secret));
+    return true;
+  });
+}
+
 void PeerNode::RefreshMembers() {
   impl_->Run([](PeerAgent& agent, AgentActions& actions) {
     agent.RefreshMembers(MonotonicNow(), actions);
--- a/libs/peers/tests/node_test.cc
+++ b/libs/peers/tests/node_test.cc
@@ -116,6 +116,30 @@
   CHECK(LiveMembers(outsider) == 0);
 }
 
+// A process that starts after the store lost the secret creates another one.
+TEST_CASE("members that know a new secret connect those that know only one") {
+  Loopback loopback;
+  Process& a = loopback.Start("a", "lahore", {"old secret"});
+  Process& b = loopback.Start("b", "lahore", {"old secret"});
+  REQUIRE(loopback.RunUntil(
+      [&] { return LiveMembers(a) == 1 && LiveMembers(b) == 1; }));
+  a.node->AddSecret("new secret");
+  Process& c = loopback.Start("c", "multan", {"new secret"});
+  CHECK(loopback.RunUntil(
+      [&] { return LiveMembers(a) == 2 && LiveMembers(c) == 2; }));
+  REQUIRE(a.node->Send(InstanceId("b"), 4, "to b"));
+  REQUIRE(a.node->Send(InstanceId("c"), 4, "to c"));
+  REQUIRE(c.node->Send(InstanceId("a"), 4, "to a"));
+  CHECK(loopback.RunUntil([&] {
+    return !a.messages.empty() && !b.messages.empty() && !c.messages.empty();
+  }));
+  b.node->AddSecret("new secret");
+  CHECK(loopback.RunUntil([&] {
+    return b.node->Send(InstanceId("c"), 4, "from b").has_value() &&
+           c.messages.back() == "4from b";
+  }));
+}
+
 TEST_CASE("a patch, a snapshot, a denial and messages reach the other nodes") {
   Loopback loopback;
   Process& a = loopback.Start("a", "lahore");
--- a/libs/serving/include/figwell/serving/leadership.h
+++ b/libs/serving/include/figwell/serving/leadership.h
@@ -64,6 +64,8 @@
   std::string value;
   store::LeaseId lease = 0;
   store::Revision expected = 0;
+  /** `value` says that this process has led. */
+  bool has_led = false;
   friend bool operator==(const AcquireKey&, const AcquireKey&) = default;
 };
 
@@ -90,6 +92,13 @@
  * the same address, and no other process can have sent orders while the key
  * existed. This avoids the wait if all processes, or only the leader, restart
  * while replicas are missing.
+ *
+ * After a restore of the store the key says nothing about who led last: a
+ * process that the copy does not know may still lead by a lease from before. A
+ * process waits until such a lease must have ended, too, unless another one has
+ * led since the restore. The process that led when it learned of the restore
+ * leads again at once if it has the key before its former lease could have
+ * ended: any other process still waits then.
  */
 class PlacementLease {
  public:
@@ -120,6 +129,13 @@
   /** Receives the key's state from the watch; nullopt: it does not exist. */
   void OnLeaderRecord(TimePoint now,
                       const std::optional<store::KeyValue>& record);
+  /** The store was restored from an older copy, so the lease has ended. */
+  void OnNewEra(TimePoint now);
+  /**
+   * Whether a process is known to have led since the store was last restored,
+   * or it never was. True by default.
+   */
+  void SetLedSinceRestore(bool led) { led_since_restore_ = led; }
   /** How long this process lets others try first when the key is removed. */
   void SetTakeoverDelay(Duration delay) { takeover_delay_ = delay; }
   /** Ends leadership; the process does not acquire the key again. */
@@ -129,7 +145,10 @@
   bool Leads(TimePoint now) const;
   /** Whether this process holds the key: it leads or waits to lead. */
   bool HoldsKey() const { return leads_from_.has_value(); }
-  /** Whether the key was taken over from an earlier process of the machine. */
+  /**
+   * Whether the key was taken over from an earlier process of the machine, or
+   * from this one before a restore.
+   */
   bool TookOver() const { return took_over_; }
   /**
    * The fencing token of orders: grows with each acquisition of the key, by any
@@ -145,8 +164,10 @@
   bool IsLeaseValid(TimePoint now) const;
   void OnLeaseLost(TimePoint now);
   bool ShouldAcquireKey() const;
-  AcquireKey MakeAcquireKey(store::Revision expected) const;
-  /** @param took_over whether an earlier process of this machine has led */
+  AcquireKey MakeAcquireKey(store::Revision expected);
+  /** Whether the former lease, from before a restore, cannot have ended yet. */
+  bool CanResume(TimePoint now) const;
+  /** @param took_over whether this machine was the last one that led */
   void RecordAcquisition(TimePoint now, store::Revision revision,
                          bool took_over);
   void OnMarkedLed(TimePoint now,
@@ -166,14 +187,20 @@
   /** When orders may first be sent; only while this process holds the key. */
   std::optional<TimePoint> leads_from_;
   bool took_over_ = false;
+  bool led_since_restore_ = true;
+  /** When the lease ends by which this process led before a restore. */
+  std::optional<TimePoint> resumes_until_;
+  /** The lease with which this process last wrote the key, or tried to. */
+  store::LeaseId key_lease_ = 0;
   store::Revision fence_ = 0;
   /** The revision of this process's last known write of the key. */
   store::Revision last_write_ = 0;
   /**
    * The key's revision, while it names an earlier process of this machine that
-   * has led.
+   * has led, or this process under a lease that has ended.
    */
   std::optional<store::Revision> predecessor_revision_;
+  bool predecessor_has_led_ = false;
   /** Whether the key is known not to exist; set by the watch. */
   bool key_absent_ = false;
   /** Whether the key has to be read: it may not be as this process assumes. */
--- a/libs/serving/src/leadership.cc
+++ b/libs/serving/src/leadership.cc
@@ -45,8 +45,13 @@
   return record.instance == self_.instance && record.address == self_.address;
 }
 
-AcquireKey PlacementLease::MakeAcquireKey(store::Revision expected) const {
-  return {key_, self_.ToText(), lease_, expected};
+AcquireKey PlacementLease::MakeAcquireKey(store::Revision expected) {
+  key_lease_ = lease_;
+  return {key_, self_.ToText(), lease_, expected, self_.has_led};
+}
+
+bool PlacementLease::CanResume(TimePoint now) const {
+  return resumes_until_ && now < *resumes_until_;
 }
 
 void PlacementLease::RecordAcquisition(TimePoint now, store::Revision revision,
@@ -54,8 +59,13 @@
   fence_ = revision;
   last_write_ = revision;
   took_over_ = took_over;
-  leads_from_ =
-      took_over ? now : now + bounds_.separation + bounds_.resume_grace;
+  leads_from_ = now;
+  if (!took_over) {
+    *leads_from_ += bounds_.separation + bounds_.resume_grace;
+  }
+  if (!took_over && !led_since_restore_) {
+    *leads_from_ += kLeaseTtl - kLeaseSafetyMargin;
+  }
 }
 
 void PlacementLease::OnLeaseLost(TimePoint now) {
@@ -96,7 +106,9 @@
     return make_call(Call::kRead, ReadKey{key_});
   }
   if (ShouldAcquireKey() && !HoldsKey()) {
-    self_.has_led = predecessor_revision_.has_value();
+    self_.has_led =
+        CanResume(now) ||
+        (predecessor_revision_ && predecessor_has_led_ && led_since_restore_);
     return make_call(Call::kAcquire,
                      MakeAcquireKey(predecessor_revision_.value_or(0)));
   }
@@ -140,7 +152,10 @@
   if (acquired) {
     if (*acquired) {
       // The wait starts now: the write may have been executed this late.
+      const bool too_late = resumes_until_ && !CanResume(now);
+      self_.has_led = self_.has_led && !too_late;
       RecordAcquisition(now, **acquired, /*took_over=*/self_.has_led);
+      resumes_until_.reset();
     }
     key_absent_ = false;
     predecessor_revision_.reset();
@@ -189,7 +204,7 @@
 
 void PlacementLease::OnLeaderRecord(
     TimePoint now, const std::optional<store::KeyValue>& record) {
-  if (!key_absent_ && !record && !HoldsKey()) {
+  if (!key_absent_ && !record && !HoldsKey() && !CanResume(now)) {
     next_call_ = std::max(next_call_, now + takeover_delay_);
   }
   key_absent_ = !record.has_value();
@@ -200,9 +215,12 @@
     leads_from_.reset();
     return;
   }
-  if (leader.incarnation != self_.incarnation) {
+  const bool own = leader.incarnation == self_.incarnation;
+  const bool under_own_lease = lease_ != 0 && lease_ == key_lease_;
+  if (!own || (!HoldsKey() && !under_own_lease)) {
     leads_from_.reset();
-    if (leader.has_led) {
+    predecessor_has_led_ = leader.has_led;
+    if (own || leader.has_led) {
       predecessor_revision_ = record->mod_revision;
     }
     return;
@@ -215,6 +233,17 @@
   last_write_ = std::max(last_write_, record->mod_revision);
 }
 
+void PlacementLease::OnNewEra(TimePoint now) {
+  resumes_until_.reset();
+  if (Leads(now)) {
+    resumes_until_ = renewed_ + kLeaseTtl - kLeaseSafetyMargin;
+  }
+  OnLeaseLost(now);
+  led_since_restore_ = false;
+  // A key that existed is reported again, or as removed.
+  predecessor_revision_.reset();
+}
+
 void PlacementLease::Resign() { resigned_ = true; }
 
 }  // namespace figwell::serving
--- a/libs/serving/tests/leadership_test.cc
+++ b/libs/serving/tests/leadership_test.cc
@@ -14,15 +14,16 @@
 const LeadershipBounds kBounds;
 const LeaderRecord kSelf{InstanceId("me"), "10.0.0.9:7600", 7};
 
-// A store with one key, and processes that freeze, restart or lose the
-// connection to the store, and whose calls fail, are late or lose their
-// responses.
+// A store with one key, which may be restored from an older copy, and processes
+// that freeze, restart or lose the connection to the store, and whose calls
+// fail, are late or lose their responses.
 class Simulation {
  public:
   explicit Simulation(std::size_t processes) {
     for (std::size_t i = 0; i < processes; ++i) {
       processes_.push_back(NewProcess(i));
     }
+    known_eras_.resize(processes);
     frozen_until_.resize(processes);
     disconnected_.resize(processes);
     watch_delays_.resize(processes);
@@ -32,6 +33,27 @@
   void Restart(std::size_t i) {
     responses_[i].clear();
     processes_[i] = NewProcess(i);
+    known_eras_[i] = 0;
+  }
+  /** How long processes let others try first when the key is removed. */
+  void SetTakeoverDelay(std::int64_t delay) {
+    for (PlacementLease& process : processes_) {
+      process.SetTakeoverDelay(milliseconds(delay));
+    }
+  }
+  /** The store's answers state its era from now on; for Restore. */
+  void StateEra() { store_.era = 1; }
+  /** The store is as it was `age` ago, but for its era. */
+  void Restore(std::int64_t age) {
+    const store::Era era = store_.era + 1;
+    const auto copy = history_.upper_bound(now_ - age);
+    const std::int64_t copied_at =
+        copy == history_.begin() ? now_ : std::prev(copy)->first;
+    store_ = copy == history_.begin() ? Store{} : std::prev(copy)->second;
+    store_.era = era;
+    for (auto& [id, lease] : store_.leases) {
+      lease.expires_at += now_ - copied_at;
+    }
   }
   /** The process's watch reports the key this much later. */
   void SetWatchDelay(std::size_t i, std::int64_t delay) {
@@ -48,7 +70,7 @@
   void Step() {
     now_ += 20;
     ExpireLeases();
-    record_history_[now_] = record_;
+    history_[now_] = store_;
     for (std::size_t i = 0; i < processes_.size(); ++i) {
       if (now_ < frozen_until_[i]) {
         continue;
@@ -59,7 +81,7 @@
         Execute(i, *action);
       }
       if (processes_[i].Leads(At(now_))) {
-        orders_.push_back({now_, i});
+        orders_.push_back({now_, i, processes_[i].fence()});
       }
     }
   }
@@ -68,14 +90,27 @@
   // separation.
   bool ViolatedSeparation() const {
     for (std::size_t i = 1; i < orders_.size(); ++i) {
-      if (orders_[i].second != orders_[i - 1].second &&
-          At(orders_[i].first) - At(orders_[i - 1].first) <
-              kBounds.separation) {
+      if (orders_[i].process != orders_[i - 1].process &&
+          At(orders_[i].at) - At(orders_[i - 1].at) < kBounds.separation) {
+        return true;
+      }
+    }
+    return false;
+  }
+  // Whether a fencing token was lower than one before, or that of two
+  // processes.
+  bool ViolatedFencing() const {
+    for (std::size_t i = 1; i < orders_.size(); ++i) {
+      const Order& former = orders_[i - 1];
+      const Order& order = orders_[i];
+      if (order.fence < former.fence ||
+          (order.fence == former.fence && order.process != former.process)) {
         return true;
       }
     }
     return false;
   }
+  std::size_t last_leader() const { return orders_.back().process; }
   std::size_t orders() const { return orders_.size(); }
   std::int64_t now() const { return now_; }
 
@@ -92,20 +127,50 @@
     std::size_t owner = 0;
     std::int64_t expires_at = 0;
   };
+  // What a copy of the store contains; numbers are without eras.
+  struct Store {
+    store::Era era = 0;
+    std::map<store::LeaseId, Lease> leases;
+    store::LeaseId last_lease = 0;
+    store::Revision revision = 0;
+    std::optional<store::KeyValue> record;
+    /** The era in which a process is known to have led. */
+    store::Era led_in = 0;
+  };
   struct Response {
     std::int64_t at = 0;
-    std::function<void(PlacementLease&, TimePoint)> callback;
+    store::Era era = 0;
+    /** The bool tells whether the response is to be dropped. */
+    std::function<void(PlacementLease&, TimePoint, bool)> callback;
+  };
+  struct Order {
+    std::int64_t at = 0;
+    std::size_t process = 0;
+    store::Revision fence = 0;
   };
 
   void ExpireLeases() {
-    std::erase_if(leases_, [&](const auto& item) {
+    std::erase_if(store_.leases, [&](const auto& item) {
       return item.second.expires_at <= now_;
     });
-    if (record_ && !leases_.contains(record_->lease)) {
-      record_.reset();
+    if (store_.record && !store_.leases.contains(store_.record->lease)) {
+      store_.record.reset();
+    }
+  }
+
+  // The process hears from the store in this era.
+  void ObserveEra(std::size_t i, store::Era era) {
+    const bool restored = known_eras_[i] != 0 && era > known_eras_[i];
+    known_eras_[i] = std::max(known_eras_[i], era);
+    if (restored) {
+      processes_[i].OnNewEra(At(now_));
     }
   }
 
+  bool IsOutdated(std::size_t i, std::int64_t with_era) const {
+    return with_era != 0 && store::EraOf(with_era) < known_eras_[i];
+  }
+
   void DeliverResponses(std::size_t i) {
     auto& queue = responses_[i];
     std::vector<Response> due;
@@ -118,7 +183,10 @@
       }
     }
     for (const Response& response : due) {
-      response.callback(processes_[i], At(now_));
+      if (response.era != 0) {
+        ObserveEra(i, response.era);
+      }
+      response.callback(processes_[i], At(now_), response.era < known_eras_[i]);
     }
   }
 
@@ -127,15 +195,26 @@
     if (disconnected_[i]) {
       return;
     }
-    const auto reported = record_history_.upper_bound(now_ - watch_delays_[i]);
-    processes_[i].OnLeaderRecord(At(now_), reported == record_history_.begin()
-                                               ? std::nullopt
-                                               : std::prev(reported)->second);
+    const auto reported = history_.upper_bound(now_ - watch_delays_[i]);
+    const Store& store = reported == history_.begin()
+                             ? history_.begin()->second
+                             : std::prev(reported)->second;
+    if (store.era < known_eras_[i]) {
+      return;  // the view does not go back
+    }
+    ObserveEra(i, store.era);
+    processes_[i].SetLedSinceRestore(store.led_in == store.era);
+    std::optional<store::KeyValue> record = store.record;
+    if (record) {
+      record->mod_revision = store::WithEra(store.era, record->mod_revision);
+    }
+    processes_[i].OnLeaderRecord(At(now_), record);
   }
 
   template <typename Callback>
   void RespondLater(std::size_t i, Callback callback) {
-    responses_[i].push_back({now_ + 8, std::move(callback)});
+    const store::Era era = disconnected_[i] ? known_eras_[i] : store_.era;
+    responses_[i].push_back({now_ + 8, era, std::move(callback)});
   }
 
   bool IsResponseLost(std::size_t i) const {
@@ -152,51 +231,75 @@
   void ExecuteCall(std::size_t i, const GrantLease& call) {
     store::LeaseId lease = 0;
     if (!disconnected_[i]) {
-      lease = ++last_lease_;
-      leases_[lease] = {i, now_ + call.ttl / milliseconds(1)};
+      lease = ++store_.last_lease;
+      store_.leases[lease] = {i, now_ + call.ttl / milliseconds(1)};
+      lease = store::WithEra(store_.era, lease);
     }
     const bool lost = IsResponseLost(i);
-    RespondLater(i, [lease, lost](PlacementLease& process, TimePoint now) {
-      process.OnGranted(
-          now, lost ? Result<store::LeaseId>(UnknownOutcome()) : lease);
-    });
+    RespondLater(
+        i, [lease, lost](PlacementLease& process, TimePoint now, bool dropped) {
+          process.OnGranted(now, lost || dropped
+                                     ? Result<store::LeaseId>(UnknownOutcome())
+                                     : lease);
+        });
   }
 
   void ExecuteCall(std::size_t i, const RenewLease& call) {
-    const auto lease = leases_.find(call.lease);
-    const bool lease_exists = !disconnected_[i] && lease != leases_.end();
+    if (IsOutdated(i, call.lease)) {
+      processes_[i].OnRenewed(At(now_), Fail(ErrorCode::kNotFound, "ended"));
+      return;
+    }
+    const auto lease = store_.leases.find(store::WithoutEra(call.lease));
+    bool lease_exists = !disconnected_[i] && lease != store_.leases.end();
     if (lease_exists) {
       lease->second.expires_at =
           now_ + PlacementLease::kLeaseTtl / milliseconds(1);
     }
+    // The lease that was renewed may be another one with the same number.
+    lease_exists = lease_exists && store::EraOf(call.lease) == store_.era;
     const bool lost = IsResponseLost(i);
-    RespondLater(
-        i, [lease_exists, lost](PlacementLease& process, TimePoint now) {
-          if (lost) {
-            process.OnRenewed(now, UnknownOutcome());
-          } else if (lease_exists) {
-            process.OnRenewed(now, {});
-          } else {
-            process.OnRenewed(now, Fail(ErrorCode::kNotFound, "ended"));
-          }
-        });
+    RespondLater(i, [lease_exists, lost](PlacementLease& process, TimePoint now,
+                                         bool dropped) {
+      if (lost || dropped) {
+        process.OnRenewed(now, UnknownOutcome());
+      } else if (lease_exists) {
+        process.OnRenewed(now, {});
+      } else {
+        process.OnRenewed(now, Fail(ErrorCode::kNotFound, "ended"));
+      }
+    });
   }
 
   void ExecuteCall(std::size_t i, const AcquireKey& call) {
-    const bool lease_exists = !disconnected_[i] && leases_.contains(call.lease);
+    using AcquireResult = Result<std::optional<store::Revision>>;
+    if (IsOutdated(i, call.expected)) {
+      processes_[i].OnAcquired(At(now_), std::optional<store::Revision>());
+      return;
+    }
+    if (IsOutdated(i, call.lease)) {
+      processes_[i].OnAcquired(At(now_), Fail(ErrorCode::kNotFound, "ended"));
+      return;
+    }
+    const store::LeaseId lease = store::WithoutEra(call.lease);
+    const bool lease_exists =
+        !disconnected_[i] && store_.leases.contains(lease);
     std::optional<store::Revision> acquired;
-    if (lease_exists &&
-        (record_ ? record_->mod_revision : 0) == call.expected) {
-      record_ = store::KeyValue{call.key, call.value, ++revision_, revision_,
-                                call.lease};
-      acquired = revision_;
+    bool unknown = IsResponseLost(i);
+    if (lease_exists && (store_.record ? store_.record->mod_revision : 0) ==
+                            store::WithoutEra(call.expected)) {
+      ++store_.revision;
+      store_.record = store::KeyValue{call.key, call.value, store_.revision,
+                                      store_.revision, lease};
+      if (call.has_led) {
+        store_.led_in = store::EraOf(call.lease);
+      }
+      acquired = store::WithEra(store_.era, store_.revision);
+      unknown = unknown || store::EraOf(call.lease) != store_.era;
     }
-    const bool lost = IsResponseLost(i);
-    RespondLater(i, [lease_exists, acquired, lost](PlacementLease& process,
-                                                   TimePoint now) {
-      using AcquireResult = Result<std::optional<store::Revision>>;
+    RespondLater(i, [lease_exists, acquired, unknown](
+                        PlacementLease& process, TimePoint now, bool dropped) {
       process.OnAcquired(
-          now, lost            ? AcquireResult(UnknownOutcome())
+          now, unknown || dropped ? AcquireResult(UnknownOutcome())
                : !lease_exists ? AcquireResult(Fail(ErrorCode::kNotFound, ""))
                                : AcquireResult(acquired));
     });
@@ -204,28 +307,30 @@
 
   void ExecuteCall(std::size_t i, const ReadKey&) {
     const bool lost = IsResponseLost(i);
-    RespondLater(
-        i, [record = record_, lost](PlacementLease& process, TimePoint now) {
-          using ReadResult = Result<std::optional<store::KeyValue>>;
-          process.OnRead(
-              now, lost ? ReadResult(UnknownOutcome()) : ReadResult(record));
-        });
+    std::optional<store::KeyValue> record = store_.record;
+    if (record) {
+      record->mod_revision = store::WithEra(store_.era, record->mod_revision);
+    }
+    RespondLater(i, [record, lost](PlacementLease& process, TimePoint now,
+                                   bool dropped) {
+      using ReadResult = Result<std::optional<store::KeyValue>>;
+      process.OnRead(now, lost || dropped ? ReadResult(UnknownOutcome())
+                                          : ReadResult(record));
+    });
   }
 
   std::int64_t now_ = 0;
   std::uint64_t incarnations_ = 0;
   std::vector<PlacementLease> processes_;
   std::vector<std::int64_t> watch_delays_;
-  std::map<std::int64_t, std::optional<store::KeyValue>> record_history_;
+  std::map<std::int64_t, Store> history_;
+  std::vector<store::Era> known_eras_;
   std::vector<std::int64_t> frozen_until_;
   std::vector<bool> disconnected_;
   bool lose_responses_ = false;
-  std::map<store::LeaseId, Lease> leases_;
-  store::LeaseId last_lease_ = 0;
-  store::Revision revision_ = 0;
-  std::optional<store::KeyValue> record_;
+  Store store_;
   std::map<std::size_t, std::vector<Response>> responses_;
-  std::vector<std::pair<std::int64_t, std::size_t>> orders_;
+  std::vector<Order> orders_;
 };
 
 TEST_CASE("one process leads once the separation has passed") {
@@ -275,6 +380,107 @@
   });
 }
 
+TEST_CASE("restores of the store never let two processes order servers") {
+  testing::CheckSequences(60, [] {
+    Simulation simulation(3);
+    simulation.StateEra();
+    for (int phase = 0; phase < 8; ++phase) {
+      const auto affected = *rc::gen::inRange<std::size_t>(0, 3);
+      const auto fault = *rc::gen::inRange(0, 8);
+      const auto length = *rc::gen::inRange<std::int64_t>(100, 9'000);
+      if (fault == 0) {
+        simulation.Freeze(affected, simulation.now() + length);
+      } else if (fault == 1) {
+        simulation.SetDisconnected(affected, true);
+      } else if (fault == 2) {
+        simulation.LoseResponses(true);
+      } else if (fault == 3) {
+        simulation.Restart(affected);
+      } else if (fault == 4) {
+        for (std::size_t i = 0; i < 3; ++i) {
+          simulation.Restart(i);
+        }
+      } else if (fault == 5) {
+        simulation.SetWatchDelay(affected, length / 4);
+      }
+      const int restores = *rc::gen::inRange(0, 3);
+      for (int restore = 0; restore < restores; ++restore) {
+        simulation.Restore(*rc::gen::inRange<std::int64_t>(0, 12'000));
+        const std::int64_t next =
+            simulation.now() + *rc::gen::inRange<std::int64_t>(20, 3'000);
+        while (simulation.now() < next) {
+          simulation.Step();
+        }
+      }
+      const std::int64_t until = simulation.now() + length;
+      while (simulation.now() < until) {
+        simulation.Step();
+      }
+      simulation.SetDisconnected(affected, false);
+      simulation.LoseResponses(false);
+      simulation.SetWatchDelay(affected, 0);
+    }
+    RC_ASSERT_FALSE(simulation.ViolatedSeparation());
+    RC_ASSERT_FALSE(simulation.ViolatedFencing());
+    const std::size_t before = simulation.orders();
+    const std::int64_t until = simulation.now() + 30'000;
+    while (simulation.now() < until) {
+      simulation.Step();
+    }
+    RC_ASSERT(simulation.orders() > before);
+  });
+}
+
+TEST_CASE("a leader leads again soon after a restore of the store") {
+  for (const std::int64_t age : {1'000, 4'000, 60'000}) {
+    Simulation simulation(3);
+    simulation.StateEra();
+    simulation.SetTakeoverDelay(200);
+    while (simulation.orders() < 200) {
+      simulation.Step();
+    }
+    const std::size_t leader = simulation.last_leader();
+    simulation.Restore(age);
+    const std::size_t before = simulation.orders();
+    const std::int64_t restored_at = simulation.now();
+    while (simulation.orders() < before + 100 &&
+           simulation.now() < restored_at + 20'000) {
+      simulation.Step();
+    }
+    INFO(age);
+    CHECK(simulation.last_leader() == leader);
+    CHECK(simulation.now() < restored_at + 3'000);
+    CHECK_FALSE(simulation.ViolatedSeparation());
+    CHECK_FALSE(simulation.ViolatedFencing());
+  }
+}
+
+TEST_CASE(
+    "after a restore a process waits for leaders that do not know of it") {
+  for (const std::int64_t renewed_before : {0, 300, 600, 860}) {
+    Simulation simulation(3);
+    simulation.StateEra();
+    while (simulation.orders() < 200) {
+      simulation.Step();
+    }
+    const std::size_t leader = simulation.last_leader();
+    const std::int64_t until = simulation.now() + renewed_before;
+    while (simulation.now() < until) {
+      simulation.Step();
+    }
+    // The copy is from before the leader had the key, so the key is free.
+    simulation.SetDisconnected(leader, true);
+    simulation.Restore(60'000);
+    const std::int64_t restored_at = simulation.now();
+    while (simulation.now() < restored_at + 12'000) {
+      simulation.Step();
+    }
+    CHECK(simulation.last_leader() != leader);
+    CHECK_FALSE(simulation.ViolatedSeparation());
+    CHECK_FALSE(simulation.ViolatedFencing());
+  }
+}
+
 TEST_CASE("a leader that cannot renew stops before its lease ends") {
   Simulation simulation(2);
   while (simulation.orders() == 0) {
--- a/libs/telemetry/include/figwell/telemetry.h
+++ b/libs/telemetry/include/figwell/telemetry.h
@@ -43,6 +43,7 @@
   kFollowingChanged = 1103,
   kWatchSilent = 1104,
   kStoreRestored = 1105,
+  kSecretAdded = 1106,
   kConfigRejected = 1203,
   kConfigInForce = 1204,
   kPatchAccepted = 1205,
