Keep quarantines and leaving servers over a restore of the store

An older copy of the store lacks entries that were written since, and has entries from before others were removed. A quarantine that was missing counted as lifted, so that its request reached servers again; the former entry of a server that drains, or had left, made it usable again.

An entry's revision tells the era, so a quarantine that is missing in a later era is written again, and a start of a server that had left is used only once its entry was written since the restore, or did not lapse. A server that drains does so until it starts again.

--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -290,6 +290,9 @@
   for (const ServerId& expired : state_.directory.Expire(now)) {
     OnServerChange(expired, serving::ServerChange::kGone);
   }
+  for (const ServerId& accepted : state_.directory.AcceptRestored(now)) {
+    OnServerChange(accepted, serving::ServerChange::kAppeared);
+  }
   if (instances_view_.listed()) {
     UpdateFleetSize(now);
     UpdateFollowing(now);
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -154,8 +154,9 @@
   const TimePoint now = MonotonicNow();
   for (const serving::LoggedEntry& entry : entries) {
     const ServerId id = adapter::ServerIdFromKey(entry.key);
+    const store::Era era = store::EraOf(entry.revision);
     if (entry.removed) {
-      OnServerChange(id, state_.directory.Remove(now, id));
+      OnServerChange(id, state_.directory.Remove(now, id, era));
       if (state_.directory.Find(id) != nullptr) {
         telemetry::Log(Event::kServerChanged, "lapsed",
                        {{"server", id.value()},
@@ -163,11 +164,11 @@
       }
     } else if (const auto server = UnpackServer(entry.value)) {
       state_.balancer.OnRegistryUpdate(now, id);
-      OnServerChange(id, state_.directory.Put(*server));
+      OnServerChange(id, state_.directory.Put(*server, {now, era}));
     } else {
       telemetry::Log(Event::kEntryUnreadable, server.error().message,
                      {{"server", id.value()}});
-      OnServerChange(id, state_.directory.Remove(now, id));
+      OnServerChange(id, state_.directory.Remove(now, id, era));
     }
   }
   if (servers_view_.IsActiveFollower() && !entries.empty()) {
--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -279,11 +279,21 @@
   const std::string_view key = entry.key;
   const serving::TraitSet traits = ParseIds(key.substr(EntriesPrefix().size()));
   if (!entry.removed) {
-    stored_.insert(traits);
+    stored_[traits] = entry.revision;
     Add(traits, Source::kStore);
-  } else if (stored_.erase(traits) > 0) {
-    Remove(traits, Source::kStore);
+    return;
+  }
+  const auto stored = stored_.extract(traits);
+  if (stored.empty()) {
+    return;
+  }
+  if (store::EraOf(stored.mapped()) < store::EraOf(entry.revision)) {
+    // Not lifted: the copy that the store was restored from lacks it.
+    RunWithin(state_.context, state_.random, kMaxSaveDelay,
+              [this, traits] { Save(traits); });
+    return;
   }
+  Remove(traits, Source::kStore);
 }
 
 void QuarantineDriver::RetryStoreCall(std::string_view call, const Error& error,
--- a/apps/edge/quarantine_driver.h
+++ b/apps/edge/quarantine_driver.h
@@ -96,7 +96,7 @@
   /** Own if one of the reports that await evaluation is. */
   Source reports_source_ = Source::kPeer;
   /** Entries that the store holds, as last seen. */
-  std::set<serving::TraitSet> stored_;
+  std::map<serving::TraitSet, store::Revision> stored_;
 };
 
 }  // namespace figwell::edge
--- a/libs/serving/include/figwell/serving/directory.h
+++ b/libs/serving/include/figwell/serving/directory.h
@@ -12,6 +12,7 @@
 
 #include "figwell/core.h"
 #include "figwell/serving/catalog.h"
+#include "figwell/store.h"
 
 namespace figwell::serving {
 
@@ -71,6 +72,22 @@
  */
 inline constexpr Duration kLeavingMarkLifetime = std::chrono::minutes(10);
 
+/**
+ * The entry of a server that left may be back in an older copy of the store. If
+ * the server does not write it again, it lapses within this time: its lease
+ * lasts three heartbeats, and watchers pause between changes.
+ */
+inline constexpr Duration kRestoredEntryLifetime =
+    std::chrono::milliseconds(5'000);
+
+/** When an entry was read from the store, and in which era of it. */
+struct EntryReading {
+  TimePoint at;
+  store::Era era = 0;
+
+  friend bool operator==(const EntryReading&, const EntryReading&) = default;
+};
+
 /** Effect of a directory update on one server. */
 enum class ServerChange {
   kAppeared,
@@ -89,6 +106,11 @@
  * lapsed in the outage get kLapsedEntryGrace to return. Removals that peers
  * report while the store is unreachable from this instance get the same grace,
  * since it may have recovered for the peers only.
+ *
+ * What a server has reported holds over restores of the store to an older copy:
+ * one that drains stays draining until it starts again, and one that was gone
+ * is used again only once it has written its entry since, or once an entry that
+ * it does not renew would have lapsed.
  */
 class Directory {
  public:
@@ -98,10 +120,12 @@
      * When the server counts as gone, if its entry lapsed in a store outage.
      */
     std::optional<TimePoint> expires_at;
+    /** The store's era in which the entry was removed. */
+    store::Era removed_in = 0;
   };
 
   /** Applies an entry that was written. */
-  ServerChange Put(BackendServer server);
+  ServerChange Put(BackendServer server, const EntryReading& reading = {});
   /**
    * Marks a server as draining after it announced that it leaves, or a peer
    * reported its announcement. It stays draining until it starts again,
@@ -111,7 +135,7 @@
   ServerChange MarkLeaving(TimePoint now, const ServerId& id,
                            std::int64_t started_ms);
   /** Applies the removal of an entry, or of one that became unreadable. */
-  ServerChange Remove(TimePoint now, const ServerId& id);
+  ServerChange Remove(TimePoint now, const ServerId& id, store::Era era = 0);
   /** The store became unreachable, or is reachable again. */
   void OnStoreLost() { store_unreachable_ = true; }
   void OnStoreRecovered(TimePoint now);
@@ -121,6 +145,11 @@
    * @return their ids
    */
   std::vector<ServerId> Expire(TimePoint now);
+  /**
+   * Accepts entries that came back with a restore and have not lapsed.
+   * @return their servers, which appear
+   */
+  std::vector<ServerId> AcceptRestored(TimePoint now);
 
   const std::map<ServerId, Entry>& entries() const { return entries_; }
   const BackendServer* Find(const ServerId& id) const;
@@ -142,9 +171,28 @@
     std::int64_t started_ms = 0;
     TimePoint marked_at;
   };
+  /** A start of a server whose entry was removed. */
+  struct Departure {
+    std::int64_t started_ms = 0;
+    store::Era era = 0;
+    TimePoint at;
+  };
+  /** An entry that came back with a restore. */
+  struct RestoredEntry {
+    BackendServer server;
+    TimePoint accepted_at;
+  };
+
+  /** Remembers that the entry is gone. */
+  void RecordDeparture(TimePoint now, const Entry& entry);
+  /** Whether an older copy of the store brought the entry back. */
+  bool IsRestored(const BackendServer& server,
+                  const EntryReading& reading) const;
 
   std::map<ServerId, Entry> entries_;
   std::map<ServerId, LeavingMark> leaving_marks_;
+  std::map<ServerId, Departure> departures_;
+  std::map<ServerId, RestoredEntry> restored_;
   bool store_unreachable_ = false;
   std::optional<TimePoint> recovered_at_;
 };
--- a/libs/serving/src/directory.cc
+++ b/libs/serving/src/directory.cc
@@ -26,7 +26,47 @@
   return "unknown";
 }
 
-ServerChange Directory::Put(BackendServer server) {
+bool Directory::IsRestored(const BackendServer& server,
+                           const EntryReading& reading) const {
+  const auto departure = departures_.find(server.id);
+  return departure != departures_.end() &&
+         departure->second.started_ms == server.started_ms &&
+         departure->second.era < reading.era;
+}
+
+void Directory::RecordDeparture(TimePoint now, const Entry& entry) {
+  const BackendServer& server = entry.server;
+  std::erase_if(departures_, [&](const auto& item) {
+    return now - item.second.at >= kLeavingMarkLifetime;
+  });
+  departures_[server.id] = {server.started_ms, entry.removed_in, now};
+  if (server.draining) {
+    leaving_marks_[server.id] = {server.started_ms, now};
+  }
+}
+
+std::vector<ServerId> Directory::AcceptRestored(TimePoint now) {
+  std::vector<BackendServer> due;
+  for (const auto& [id, entry] : restored_) {
+    if (now >= entry.accepted_at) {
+      due.push_back(entry.server);
+    }
+  }
+  std::vector<ServerId> accepted;
+  for (BackendServer& server : due) {
+    accepted.push_back(server.id);
+    Put(std::move(server));
+  }
+  return accepted;
+}
+
+ServerChange Directory::Put(BackendServer server, const EntryReading& reading) {
+  if (IsRestored(server, reading) && !restored_.contains(server.id)) {
+    restored_[server.id] = {server, reading.at + kRestoredEntryLifetime};
+    return ServerChange::kUnchanged;
+  }
+  restored_.erase(server.id);
+  departures_.erase(server.id);
   if (const auto leaving = leaving_marks_.find(server.id);
       leaving != leaving_marks_.end()) {
     if (leaving->second.started_ms == server.started_ms) {
@@ -47,6 +87,9 @@
   if (!restarted && server.version == 0) {
     server.version = entry.server.version;  // peers may not state it
   }
+  if (!restarted && entry.server.draining) {
+    server.draining = true;  // an older copy of the store says otherwise
+  }
   if (entry.server == server) {
     return ServerChange::kUnchanged;
   }
@@ -89,18 +132,22 @@
              : std::min(end, now + kLateRemovalGrace);
 }
 
-ServerChange Directory::Remove(TimePoint now, const ServerId& id) {
+ServerChange Directory::Remove(TimePoint now, const ServerId& id,
+                               store::Era era) {
+  restored_.erase(id);
   const auto found = entries_.find(id);
   if (found == entries_.end()) {
     return ServerChange::kUnchanged;
   }
   Entry& entry = found->second;
+  entry.removed_in = era;
   const auto grace_end = GraceEnd(now);
   if (grace_end && !entry.server.draining) {
     entry.expires_at =
         std::min(entry.expires_at.value_or(*grace_end), *grace_end);
     return ServerChange::kUnchanged;
   }
+  RecordDeparture(now, entry);
   entries_.erase(found);
   return ServerChange::kGone;
 }
@@ -117,6 +164,7 @@
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     if (entry->second.expires_at && *entry->second.expires_at <= now) {
       gone.push_back(entry->first);
+      RecordDeparture(now, entry->second);
       entry = entries_.erase(entry);
     } else {
       ++entry;
--- a/libs/serving/tests/directory_test.cc
+++ b/libs/serving/tests/directory_test.cc
@@ -36,6 +36,64 @@
   CHECK_FALSE(directory.IsUsable(ServerId("a")));
 }
 
+// A restore of the store may bring back what a server reported before it began
+// to drain, or before it left.
+TEST_CASE("a server that drains does not return with an older copy") {
+  Directory directory;
+  BackendServer leaving = MakeServer("a");
+  leaving.draining = true;
+  directory.Put(leaving, {At(0), 1});
+  CHECK(directory.Put(MakeServer("a"), {At(10), 2}) ==
+        ServerChange::kUnchanged);
+  CHECK_FALSE(directory.IsUsable(ServerId("a")));
+  CHECK(directory.Remove(At(20), ServerId("a"), 2) == ServerChange::kGone);
+  directory.Put(MakeServer("a"), {At(30), 3});
+  directory.AcceptRestored(At(30) + kRestoredEntryLifetime);
+  CHECK_FALSE(directory.IsUsable(ServerId("a")));
+  directory.Put(MakeServer("a", 2), {At(40), 3});
+  CHECK(directory.IsUsable(ServerId("a")));
+}
+
+TEST_CASE("a server that is gone does not return with an older copy") {
+  const ServerId id("a");
+  Directory directory;
+  directory.Put(MakeServer("a"), {At(0), 1});
+  CHECK(directory.Remove(At(10), id, 1) == ServerChange::kGone);
+  const auto restore = [&](std::int64_t ms, store::Era era) {
+    CHECK(directory.Put(MakeServer("a"), {At(ms), era}) ==
+          ServerChange::kUnchanged);
+    CHECK(directory.Find(id) == nullptr);
+  };
+  SECTION("its entry lapses") {
+    restore(20, 2);
+    directory.Remove(At(30), id, 2);
+    CHECK(directory.AcceptRestored(At(20'000)).empty());
+    restore(20'000, 3);
+    CHECK(directory.AcceptRestored(At(20'100)).empty());
+  }
+  SECTION("it writes its entry again") {
+    restore(20, 2);
+    CHECK(directory.Put(MakeServer("a"), {At(30), 2}) ==
+          ServerChange::kAppeared);
+    CHECK(directory.AcceptRestored(At(20'000)).empty());
+  }
+  SECTION("its entry does not lapse") {
+    restore(20, 2);
+    CHECK(directory.AcceptRestored(At(100)).empty());
+    CHECK(directory.AcceptRestored(At(20) + kRestoredEntryLifetime) ==
+          std::vector<ServerId>{id});
+    CHECK(directory.IsUsable(id));
+  }
+  SECTION("another start has its id") {
+    CHECK(directory.Put(MakeServer("a", 2), {At(20), 2}) ==
+          ServerChange::kAppeared);
+  }
+  SECTION("it returns in the same era") {
+    CHECK(directory.Put(MakeServer("a"), {At(20), 1}) ==
+          ServerChange::kAppeared);
+  }
+}
+
 TEST_CASE("a new start under the same id is a restart") {
   Directory directory;
   directory.Put(MakeServer("a", 1));
