Write an instance's entry until a write succeeded

An instance whose lease was granted, and whose write the store rejected as not executed, only renewed the lease from then on: peers that start later did not find it in the store.

--- a/apps/edge/registrar.cc
+++ b/apps/edge/registrar.cc
@@ -41,6 +41,10 @@
     return;
   }
   call_in_flight_ = true;
+  if (lease_ != 0 && !registered_) {
+    Register();
+    return;
+  }
   if (lease_ != 0) {
     store_.RenewLease(lease_, [this](const Result<void>& renewed) {
       OnCallResult(MonotonicNow(), ErrorOf(renewed));
@@ -53,6 +57,7 @@
       return;
     }
     lease_ = *lease;
+    registered_ = false;
     Register();
   });
 }
@@ -64,7 +69,9 @@
                                         state_.settings.failure_domain}
                                .ToText(),
                            lease_});
-  store_.Commit(change, [this](const Result<adapter::ChangeResult>& result) {
+  store_.Commit(change, [this, lease = lease_](
+                            const Result<adapter::ChangeResult>& result) {
+    registered_ = result.has_value() && lease == lease_;
     OnCallResult(MonotonicNow(), ErrorOf(result));
   });
 }
--- a/apps/edge/registrar.h
+++ b/apps/edge/registrar.h
@@ -35,6 +35,7 @@
   State& state_;
   adapter::StoreClient& store_;
   store::LeaseId lease_ = 0;
+  bool registered_ = false;  ///< the entry was written under this lease
   TimePoint next_call_;
   bool call_in_flight_ = false;
   bool left_ = false;
