Keep room for late orders to a server's earlier start

An order without a response named the server's id and the number of orders before it; the server had crashed and started again under its id, and reached that number in another state. The order had been forgotten with the server's state.

OrderTracker remembers orders without a response for 15 s, and the planner keeps room for what an earlier start may have been ordered to load. An instance that has not led for that long keeps room for any one load.

--- a/apps/edge/placement_driver.h
+++ b/apps/edge/placement_driver.h
@@ -59,6 +59,14 @@
     serving::ReplicaMove move;
   };
 
+  struct ServerStart {
+    std::int64_t started_ms = 0;
+    /** When the server was last registered, if it is not any more. */
+    std::optional<TimePoint> gone_at;
+  };
+
+  /** Detects that a server has started again under the same id. */
+  void UpdateStart(TimePoint now, const ServerId& server);
   void Tick();
   void TickLease(TimePoint now);
   void Execute(const serving::GrantLease& action);
@@ -101,6 +109,7 @@
   boost::asio::steady_timer announce_timer_;
   serving::PlacementLease lease_;
   bool was_leading_ = false;
+  TimePoint leads_since_;
   std::optional<InstanceId> leader_;
   store::Era led_in_era_ = 0;  ///< as recorded in the store
 
@@ -114,6 +123,8 @@
   std::map<serving::ModelTarget, TimePoint> requested_adapters_;
   std::map<serving::ModelTarget, TimePoint> sent_adapter_requests_;
   std::map<ServerId, PendingUnload> pending_unloads_;
+  /** Start times of servers that are registered, or were until recently. */
+  std::map<ServerId, ServerStart> starts_;
   PlacementMessage pending_announcements_;  // not sent yet
   std::size_t reports_in_flight_ = 0;
   TimePoint last_rebalance_;
--- a/libs/serving/include/figwell/serving/engine_state.h
+++ b/libs/serving/include/figwell/serving/engine_state.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "figwell/core.h"
 #include "figwell/serving/catalog.h"
@@ -29,6 +30,11 @@
   std::optional<ModelId> loading;
   bool is_load = true;
   bool orderable = false;  ///< may be sent an order now
+  /**
+   * Loads that were sent to an earlier start of the server and may be executed
+   * by this one. Room is kept for them. An empty model stands for any.
+   */
+  std::vector<ModelTarget> late_loads;
 
   friend bool operator==(const EngineState&, const EngineState&) = default;
 };
--- a/libs/serving/include/figwell/serving/order_tracker.h
+++ b/libs/serving/include/figwell/serving/order_tracker.h
@@ -81,13 +81,28 @@
  * there. An order is sent only after a report has shown the server's state, and
  * while no order that this process sent since awaits its response. Since each
  * order carries the number of orders accepted before it, an order that is
- * executed late was made for exactly the state that it finds.
+ * executed late was made for exactly the state that it finds, unless the server
+ * has started again: its count starts anew, and reaches that number in another
+ * state. So an order without a response is remembered until it can no longer be
+ * executed, and after a restart room is kept for what it loads.
  */
 class OrderTracker {
  public:
-  /** Drops all state. A new leader starts from new reports. */
+  /**
+   * An order without a response is executed within this time or never. The
+   * users state "seconds".
+   */
+  static constexpr Duration kMaxOrderDelay = std::chrono::seconds(15);
+
+  /** Drops the views of all servers. A new leader starts from new reports. */
   void Clear();
+  /** The server is gone, or has started again under the same id. */
   void RemoveServer(const ServerId& server);
+  /**
+   * The server has started again, and another process may have sent an order
+   * to its earlier start.
+   */
+  void ExpectLateLoad(TimePoint now, const ServerId& server);
 
   /** Whether the server's report should be requested now. */
   bool NeedsReport(TimePoint now, const ServerId& server) const;
@@ -157,7 +172,23 @@
     TimePoint reported_at;
   };
 
+  /** An order that may be executed although it got no response so far. */
+  struct UnansweredOrder {
+    Order order;
+    TimePoint sent_at;
+    bool to_earlier_start = false;
+  };
+
+  void MarkEarlierStart(const ServerId& server);
+  /** Loads that the server's current start may execute late. */
+  std::vector<ModelTarget> LateLoads(TimePoint now,
+                                     const ServerId& server) const;
+  /** Forgets the newest order that equals this one: it got a response. */
+  void RemoveAnswered(const Order& order);
+  void DropExpiredOrders(TimePoint now);
+
   std::map<ServerId, State> states_;
+  std::map<ServerId, std::vector<UnansweredOrder>> unanswered_;
 };
 
 /**
--- a/libs/serving/src/order_tracker.cc
+++ b/libs/serving/src/order_tracker.cc
@@ -1,6 +1,7 @@
 #include "figwell/serving/order_tracker.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace figwell::serving {
@@ -44,6 +45,68 @@
 
 void OrderTracker::RemoveServer(const ServerId& server) {
   states_.erase(server);
+  MarkEarlierStart(server);
+}
+
+void OrderTracker::MarkEarlierStart(const ServerId& server) {
+  const auto found = unanswered_.find(server);
+  if (found != unanswered_.end()) {
+    for (UnansweredOrder& order : found->second) {
+      order.to_earlier_start = true;
+    }
+  }
+}
+
+void OrderTracker::ExpectLateLoad(TimePoint now, const ServerId& server) {
+  DropExpiredOrders(now);
+  Order unknown{server, OrderAction::kLoad, {}, 0};
+  unknown.expected = std::numeric_limits<std::int64_t>::max();
+  unanswered_[server].push_back({unknown, now, true});
+}
+
+std::vector<ModelTarget> OrderTracker::LateLoads(TimePoint now,
+                                                 const ServerId& server) const {
+  std::vector<ModelTarget> loads;
+  const auto found = unanswered_.find(server);
+  if (found == unanswered_.end()) {
+    return loads;
+  }
+  const EngineView* view = Find(server);
+  for (const UnansweredOrder& unanswered : found->second) {
+    const Order& order = unanswered.order;
+    const bool possible = unanswered.to_earlier_start &&
+                          now < unanswered.sent_at + kMaxOrderDelay &&
+                          (view == nullptr || view->accepted <= order.expected);
+    if (possible && order.action == OrderAction::kLoad) {
+      loads.push_back(order.target);
+    }
+  }
+  return loads;
+}
+
+void OrderTracker::RemoveAnswered(const Order& order) {
+  const auto found = unanswered_.find(order.server);
+  if (found == unanswered_.end()) {
+    return;
+  }
+  // An equal order may have been sent before, which is still unanswered.
+  std::vector<UnansweredOrder>& orders = found->second;
+  const auto last = std::find_if(
+      orders.rbegin(), orders.rend(),
+      [&](const UnansweredOrder& other) { return other.order == order; });
+  if (last != orders.rend()) {
+    orders.erase(std::prev(last.base()));
+  }
+}
+
+void OrderTracker::DropExpiredOrders(TimePoint now) {
+  for (auto& [server, orders] : unanswered_) {
+    std::erase_if(orders, [&](const UnansweredOrder& order) {
+      return now >= order.sent_at + kMaxOrderDelay;
+    });
+  }
+  std::erase_if(unanswered_,
+                [](const auto& item) { return item.second.empty(); });
 }
 
 bool OrderTracker::NeedsReport(TimePoint now, const ServerId& server) const {
@@ -83,6 +146,9 @@
     // May have been made before an unconfirmed order took effect.
     return std::nullopt;
   }
+  if (restarted) {
+    MarkEarlierStart(server);
+  }
   const std::optional<ModelId> was_loading = state.view.loading;
   const auto unconfirmed_order =
       std::exchange(state.unconfirmed_order, std::nullopt);
@@ -167,6 +233,7 @@
 EngineState OrderTracker::StateOf(TimePoint now, const ServerId& server,
                                   const HeldModels& registered) const {
   EngineState state;
+  state.late_loads = LateLoads(now, server);
   state.loading = PossiblyLoadingModel(server);
   const EngineView* view = Find(server);
   if (view == nullptr) {
@@ -190,11 +257,16 @@
   Order order{server, action, target, state.view.accepted};
   state.sent_order = order;
   state.order_changed_at = now;
+  DropExpiredOrders(now);
+  unanswered_[server].push_back({order, now, false});
   return order;
 }
 
 void OrderTracker::OnOutcome(TimePoint now, const Order& order,
                              OrderOutcome outcome, Duration load_time) {
+  if (outcome != OrderOutcome::kUnknown) {
+    RemoveAnswered(order);
+  }
   const auto found = states_.find(order.server);
   if (found == states_.end() || found->second.sent_order != order) {
     return;
--- a/libs/serving/src/replicas.cc
+++ b/libs/serving/src/replicas.cc
@@ -39,6 +39,9 @@
         ++adapter_replica_counts_[{model, adapter}];
       }
     }
+    for (const ModelTarget& late : server.late_loads) {
+      adapter_counts_[id] += late.adapter.empty() ? 0 : 1;
+    }
     if (IsLoading(server) && !server.loading->empty()) {
       ++replica_counts_[*server.loading];
     }
@@ -115,6 +118,11 @@
   for (const auto& [model, adapters] : server.models) {
     used_mb += WeightsMb(model);
   }
+  for (const ModelTarget& late : server.late_loads) {
+    if (late.adapter.empty() && !server.models.contains(late.model)) {
+      used_mb += WeightsMb(late.model);
+    }
+  }
   return used_mb;
 }
 
--- /dev/null
+++ b/libs/serving/tests/restarted_server_test.cc
@@ -0,0 +1,263 @@
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "figwell/serving/order_tracker.h"
+#include "figwell/serving/replicas.h"
+#include "figwell/testing.h"
+
+// Guards against a server that is filled beyond its memory by an order that was
+// sent to an earlier start of it. Simulates, in virtual time, servers that crash
+// and start again under the same id, and leave orders without a response and
+// execute them seconds later, while demand moves between more models than fit.
+
+namespace figwell::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{40};
+constexpr milliseconds kSimulatedTime{120'000};
+constexpr milliseconds kLoadTime{600};
+constexpr milliseconds kResponseTime{10};
+constexpr milliseconds kResponseTimeout{300};
+constexpr milliseconds kHotModelInterval{2'500};
+constexpr milliseconds kMaxLateness{12'000};
+constexpr double kLostOrderFraction = 0.3;
+constexpr std::size_t kSlots = 3;
+constexpr int kServers = 3;
+constexpr int kModels = 11;
+constexpr double kModelMb = 72'700;
+
+const ServiceId kService("models");
+
+ModelId Model(int number) {
+  return ModelId(std::string("m").append(std::to_string(number)));
+}
+
+/** A server that executes one order at a time. */
+struct Engine {
+  HeldModels models;
+  std::optional<Order> order;
+  TimePoint order_end;
+  std::int64_t accepted = 0;
+  std::vector<std::pair<TimePoint, Order>> late_orders;
+  std::optional<TimePoint> down_until;
+  bool overfilled = false;
+
+  bool Accept(TimePoint now, const Order& new_order) {
+    if (down_until || order || new_order.expected != accepted) {
+      return false;
+    }
+    ++accepted;
+    order = new_order;
+    const bool loads = new_order.action == OrderAction::kLoad;
+    order_end = now + (loads ? kLoadTime : kResponseTime);
+    if (!loads) {
+      models.erase(new_order.target.model);
+    } else {
+      overfilled = overfilled || (!models.contains(new_order.target.model) &&
+                                  models.size() == kSlots);
+    }
+    return true;
+  }
+
+  void Crash(TimePoint now, Duration down) {
+    models.clear();
+    order.reset();
+    accepted = 0;
+    down_until = now + down;
+  }
+
+  void Advance(TimePoint now) {
+    if (order && now >= order_end) {
+      if (order->action == OrderAction::kLoad) {
+        models[order->target.model] = {};
+      }
+      order.reset();
+    }
+    for (const auto& [at, late_order] : late_orders) {
+      if (now >= at) {
+        Accept(now, late_order);
+      }
+    }
+    std::erase_if(late_orders,
+                  [&](const auto& late_order) { return now >= late_order.first; });
+  }
+};
+
+class Simulation {
+ public:
+  /** @param leader_changes whether another process leads from time to time */
+  Simulation(std::uint64_t seed, bool leader_changes)
+      : random_(seed), leader_changes_(leader_changes) {
+    engine_.weights_mb = kSlots * kModelMb;
+    for (int i = 0; i < kModels; ++i) {
+      ModelSpec spec;
+      spec.id = Model(i);
+      spec.weights_mb = kModelMb;
+      spec.load_time = kLoadTime;
+      engine_.models.emplace(spec.id, spec);
+    }
+    for (int i = 0; i < kServers; ++i) {
+      // Full without any order, unlike after a restart: late orders meet
+      // other numbers of models.
+      Engine& engine =
+          engines_[ServerId(std::string("s").append(std::to_string(i)))];
+      for (std::size_t slot = 0; slot < kSlots; ++slot) {
+        engine.models[Model(static_cast<int>(slot))] = {};
+      }
+    }
+  }
+
+  /** @return whether a server was ever ordered to load more than fits */
+  bool Overfills() {
+    for (now_ = TimePoint(milliseconds(1'000));
+         now_ < TimePoint(kSimulatedTime); now_ += kTick) {
+      for (auto& [id, engine] : engines_) {
+        engine.Advance(now_);
+        CrashOrRestart(id, engine);
+      }
+      if (leader_changes_ && random_.Unit() < 0.005) {
+        leader_ = 1 - leader_;
+        leads_since_ = now_;
+        Leader().Clear();
+        responses_.clear();
+      }
+      DeliverResponses();
+      ReadReports();
+      Plan();
+    }
+    return std::any_of(engines_.begin(), engines_.end(), [](const auto& item) {
+      return item.second.overfilled;
+    });
+  }
+  int loads() const { return loads_; }
+
+ private:
+  struct Response {
+    TimePoint at;
+    Order order;
+    OrderOutcome outcome;
+  };
+
+  OrderTracker& Leader() { return trackers_[leader_]; }
+
+  void CrashOrRestart(const ServerId& id, Engine& engine) {
+    if (!engine.down_until && random_.Unit() < 0.006) {
+      engine.Crash(now_, milliseconds(200 + random_.Below(2'000)));
+      for (OrderTracker& tracker : trackers_) {
+        tracker.RemoveServer(id);
+      }
+    } else if (engine.down_until && now_ >= *engine.down_until) {
+      engine.down_until.reset();
+      for (std::size_t i = 0; i < trackers_.size(); ++i) {
+        const bool sent_all_orders =
+            i == leader_ && now_ - leads_since_ >= OrderTracker::kMaxOrderDelay;
+        if (leader_changes_ && !sent_all_orders) {
+          trackers_[i].ExpectLateLoad(now_, id);
+        }
+      }
+    }
+  }
+
+  void SendOrder(const ReplicaMove& move) {
+    const ServerId& id = move.server;
+    if (Leader().FindOrderable(now_, id) == nullptr) {
+      return;
+    }
+    const Order order = Leader().Begin(now_, id, move.action, move.target);
+    loads_ += move.action == OrderAction::kLoad ? 1 : 0;
+    if (random_.Unit() < kLostOrderFraction) {
+      const auto late = kMaxLateness.count() - 2'000;
+      const milliseconds delay(
+          2'000 + static_cast<std::int64_t>(
+                      random_.Below(static_cast<std::uint64_t>(late))));
+      engines_[id].late_orders.emplace_back(now_ + delay, order);
+      responses_.push_back(
+          {now_ + kResponseTimeout, order, OrderOutcome::kUnknown});
+      return;
+    }
+    const bool accepted = engines_[id].Accept(now_, order);
+    responses_.push_back(
+        {now_ + kResponseTime, order,
+         accepted ? OrderOutcome::kAccepted : OrderOutcome::kConflict});
+  }
+
+  void DeliverResponses() {
+    for (const Response& response : responses_) {
+      if (now_ >= response.at) {
+        const bool loads = response.order.action == OrderAction::kLoad;
+        Leader().OnOutcome(
+            now_, response.order, response.outcome,
+            loads ? Duration(kLoadTime) : Duration(kResponseTime));
+      }
+    }
+    std::erase_if(responses_, [&](const Response& response) {
+      return now_ >= response.at;
+    });
+  }
+
+  void ReadReports() {
+    for (const auto& [id, engine] : engines_) {
+      if (engine.down_until || !Leader().NeedsReport(now_, id)) {
+        continue;
+      }
+      Leader().OnReportRequested(now_, id);
+      EngineReport report;
+      report.models = engine.models;
+      for (int i = 0; i < kModels; ++i) {
+        report.local_weights.insert(Model(i));
+      }
+      report.accepted = engine.accepted;
+      report.busy = engine.order.has_value();
+      Leader().OnReport(now_, id, report);
+    }
+  }
+
+  void Plan() {
+    std::map<ServerId, EngineState> servers;
+    for (const auto& [id, engine] : engines_) {
+      if (!engine.down_until) {
+        servers.emplace(id, Leader().StateOf(now_, id, {}));
+      }
+    }
+    Demand demand;
+    const auto hot = now_.time_since_epoch() / kHotModelInterval;
+    for (int i = 0; i < kModels; ++i) {
+      demand.work[Model(i)] = (hot + i) % kModels < 4 ? 800 : 0;
+    }
+    for (const ReplicaMove& move :
+         PlanReplicas({engine_, servers, demand, 3, true, nullptr, now_})) {
+      SendOrder(move);
+    }
+  }
+
+  Random random_;
+  bool leader_changes_;
+  EngineSpec engine_;
+  TimePoint now_;
+  std::map<ServerId, Engine> engines_;
+  std::array<OrderTracker, 2> trackers_;
+  std::size_t leader_ = 0;
+  TimePoint leads_since_;
+  std::vector<Response> responses_;
+  int loads_ = 0;
+};
+
+TEST_CASE("a late order to a server's earlier start never overfills it") {
+  for (const bool leader_changes : {false, true}) {
+    int overfilled = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+      Simulation simulation(seed, leader_changes);
+      overfilled += simulation.Overfills() ? 1 : 0;
+      CHECK(simulation.loads() > 20);
+    }
+    INFO("leader changes: " << leader_changes);
+    CHECK(overfilled == 0);
+  }
+}
+
+}  // namespace
+}  // namespace figwell::serving
