Keep a server's pause and limit while its entry lapses

An entry may lapse while its server runs on. The pause and the limit that the server had stated were dropped with it, so that requests reached the server again once the same start returned.

The balancer keeps both for ten minutes; a new start has stated nothing. The directory reports a server that returns with another start time as restarted, which the placement driver had found out for itself.

--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -181,9 +181,13 @@
   if (change == ServerChange::kUnchanged || id.empty()) {
     return;
   }
-  if (change == ServerChange::kRestarted || change == ServerChange::kGone) {
+  if (change == ServerChange::kGone) {
+    state_.balancer.OnServerGone(MonotonicNow(), id);
+  } else if (change == ServerChange::kRestarted) {
     state_.balancer.RemoveServer(id);
     permits_.RemoveServer(id);
+  } else if (change == ServerChange::kAppeared) {
+    state_.balancer.OnServerAppeared(id);
   }
   if (change == ServerChange::kAppeared || change == ServerChange::kRestarted) {
     server_of_hash_[StableHash(id.value())] = id;
--- a/apps/edge/placement_driver.cc
+++ b/apps/edge/placement_driver.cc
@@ -275,31 +275,11 @@
     order_tracker_.RemoveServer(server);
     pending_unloads_.erase(server);
   }
-  UpdateStart(MonotonicNow(), server);
-}
-
-void PlacementDriver::UpdateStart(TimePoint now, const ServerId& server) {
-  const serving::BackendServer* entry = state_.directory.Find(server);
-  if (entry == nullptr) {
-    std::erase_if(starts_, [&](const auto& item) {
-      return item.second.gone_at && now - *item.second.gone_at >=
-                                        serving::OrderTracker::kMaxOrderDelay;
-    });
-    if (const auto start = starts_.find(server); start != starts_.end()) {
-      start->second.gone_at = now;
-    }
-    return;
-  }
-  const auto [start, added] =
-      starts_.try_emplace(server, ServerStart{entry->started_ms, {}});
-  start->second.gone_at.reset();
-  const bool restarted =
-      !added && entry->started_ms != start->second.started_ms;
-  start->second.started_ms = entry->started_ms;
+  const TimePoint now = MonotonicNow();
   const bool sent_all_orders =
       was_leading_ &&
       now - leads_since_ >= serving::OrderTracker::kMaxOrderDelay;
-  if (restarted && !sent_all_orders) {
+  if (change == serving::ServerChange::kRestarted && !sent_all_orders) {
     order_tracker_.ExpectLateLoad(now, server);
   }
 }
--- a/apps/edge/placement_driver.h
+++ b/apps/edge/placement_driver.h
@@ -59,14 +59,6 @@
     serving::ReplicaMove move;
   };
 
-  struct ServerStart {
-    std::int64_t started_ms = 0;
-    /** When the server was last registered, if it is not any more. */
-    std::optional<TimePoint> gone_at;
-  };
-
-  /** Detects that a server has started again under the same id. */
-  void UpdateStart(TimePoint now, const ServerId& server);
   void Tick();
   void TickLease(TimePoint now);
   void Execute(const serving::GrantLease& action);
@@ -123,8 +115,6 @@
   std::map<serving::ModelTarget, TimePoint> requested_adapters_;
   std::map<serving::ModelTarget, TimePoint> sent_adapter_requests_;
   std::map<ServerId, PendingUnload> pending_unloads_;
-  /** Start times of servers that are registered, or were until recently. */
-  std::map<ServerId, ServerStart> starts_;
   PlacementMessage pending_announcements_;  // not sent yet
   std::size_t reports_in_flight_ = 0;
   TimePoint last_rebalance_;
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -174,8 +174,14 @@
                             const ModelTarget& target, bool present);
   /** The registry delivered the server's entry again. */
   void OnRegistryUpdate(TimePoint now, const ServerId& server);
-  /** Drops all state of a server that restarted or is gone. */
+  /** Drops all state of a server that restarted. */
   void RemoveServer(const ServerId& server);
+  /**
+   * Drops the state of a server whose entry was removed, except the pause and
+   * the limit that it stated: the same start may appear again.
+   */
+  void OnServerGone(TimePoint now, const ServerId& server);
+  void OnServerAppeared(const ServerId& server) { gone_.erase(server); }
 
   /** The rates to which servers limit requests. */
   ServerLimits& limits() { return limits_; }
@@ -241,6 +247,7 @@
     std::map<ServerId, PeerLoad> loads;
   };
 
+  void RemoveAttempts(const ServerId& server);
   bool Holds(TimePoint now, const BackendServer& server,
              const ModelTarget& target) const;
   /** Whether requests for the target may be sent there, pauses aside. */
@@ -285,6 +292,8 @@
   Random random_;
   Duration registry_lag_;
   std::map<ServerId, ServerState> servers_;
+  /** Servers that are gone and of which something is kept; since when. */
+  std::map<ServerId, TimePoint> gone_;
   ServerLimits limits_;
   std::map<InstanceId, PeerState> peers_;
   std::map<DomainId, DomainReachability> domains_;
--- a/libs/serving/src/balancer_outcomes.cc
+++ b/libs/serving/src/balancer_outcomes.cc
@@ -24,6 +24,9 @@
 constexpr Duration kInitialBackoff = milliseconds(500);
 constexpr int kMaxBackoffDoublings = 3;
 constexpr double kFailureRatioSmoothing = 0.1;
+// What a server whose entry was removed has asked for is kept for this long:
+// the entry may have lapsed, and return.
+constexpr Duration kGoneServerRetention = std::chrono::minutes(10);
 // Instances resume sending to a server at a random time after its pause: within
 // this fraction of the pause, and within the maximum.
 constexpr double kPauseJitterFraction = 0.1;
@@ -226,9 +229,40 @@
   }
 }
 
+void Balancer::OnServerGone(TimePoint now, const ServerId& server) {
+  std::vector<ServerId> forgotten;
+  for (const auto& [id, gone_at] : gone_) {
+    if (now - gone_at >= kGoneServerRetention) {
+      forgotten.push_back(id);
+    }
+  }
+  for (const ServerId& id : forgotten) {
+    RemoveServer(id);
+  }
+  const auto found = servers_.find(server);
+  const bool paused = found != servers_.end() && found->second.resuming;
+  if (!paused && !limits_.Find(server)) {
+    RemoveServer(server);
+    return;
+  }
+  ServerState kept;
+  if (paused) {
+    kept.paused_until = found->second.paused_until;
+    kept.resuming = true;
+  }
+  servers_[server] = kept;
+  gone_[server] = now;
+  RemoveAttempts(server);
+}
+
 void Balancer::RemoveServer(const ServerId& server) {
+  gone_.erase(server);
   servers_.erase(server);
   limits_.RemoveServer(server);
+  RemoveAttempts(server);
+}
+
+void Balancer::RemoveAttempts(const ServerId& server) {
   std::erase_if(attempts_,
                 [&](const auto& item) { return item.second.server == server; });
 }
--- a/libs/serving/src/directory.cc
+++ b/libs/serving/src/directory.cc
@@ -66,7 +66,9 @@
     return ServerChange::kUnchanged;
   }
   restored_.erase(server.id);
-  departures_.erase(server.id);
+  const auto departure = departures_.extract(server.id);
+  const bool started_again =
+      !departure.empty() && departure.mapped().started_ms != server.started_ms;
   if (const auto leaving = leaving_marks_.find(server.id);
       leaving != leaving_marks_.end()) {
     if (leaving->second.started_ms == server.started_ms) {
@@ -78,7 +80,7 @@
   const auto found = entries_.find(server.id);
   if (found == entries_.end()) {
     entries_.emplace(server.id, Entry{server, std::nullopt});
-    return ServerChange::kAppeared;
+    return started_again ? ServerChange::kRestarted : ServerChange::kAppeared;
   }
   Entry& entry = found->second;
   entry.expires_at.reset();
--- a/libs/serving/tests/balancer_test.cc
+++ b/libs/serving/tests/balancer_test.cc
@@ -288,6 +288,32 @@
   CHECK(fixture.Choose(4'900, DeskNeeds()) == "b");
 }
 
+// A server's entry may lapse while the server runs on.
+TEST_CASE("a pause and a limit outlive a lapse of the server's entry") {
+  Fixture fixture;
+  const ServerId id("a");
+  fixture.directory.Put(MakeServer("a", kDesk, "here"));
+  fixture.directory.Put(MakeServer("b", kDesk, "there"));
+  fixture.balancer.OnPauseRequested(At(0), id, milliseconds(2'000));
+  fixture.balancer.limits().OnPeerStatement(At(0), id, 3.0);
+  fixture.balancer.OnServerGone(At(100), id);
+  fixture.balancer.OnServerAppeared(id);
+  CHECK(fixture.Choose(1'999, DeskNeeds()) == "b");
+  CHECK(fixture.balancer.limits().Find(id) == 3.0);
+  // A new start has asked for nothing.
+  fixture.balancer.RemoveServer(id);
+  CHECK(fixture.Choose(1'999, DeskNeeds()) == "a");
+  CHECK_FALSE(fixture.balancer.limits().Find(id));
+}
+
+TEST_CASE("what a server asked for is forgotten when it stays away") {
+  Fixture fixture;
+  fixture.balancer.limits().OnPeerStatement(At(0), ServerId("a"), 3.0);
+  fixture.balancer.OnServerGone(At(100), ServerId("a"));
+  fixture.balancer.OnServerGone(At(700'000), ServerId("b"));
+  CHECK_FALSE(fixture.balancer.limits().Find(ServerId("a")));
+}
+
 TEST_CASE("a server gets one request at a time after its pause") {
   Fixture fixture;
   fixture.directory.Put(MakeServer("a", kDesk, "here"));
