Bound the answers to an instance's own calls to servers

InternalCallLimits bounds such an answer to 128 KiB and to twice its timeout; a report whose body fails is requested again after 3 s.

--- a/apps/edge/placement_driver.cc
+++ b/apps/edge/placement_driver.cc
@@ -25,6 +25,9 @@
 constexpr Duration kNonFollowerTakeoverDelay = milliseconds(1'000);
 constexpr Duration kMaxTakeoverJitter = milliseconds(500);
 constexpr milliseconds kReportTimeout{600};
+constexpr Duration kReportRetryInterval = milliseconds(400);
+// A server whose report breaks off or does not end would take up the link.
+constexpr Duration kExcessiveReportRetryInterval = milliseconds(3'000);
 // Replicas are added or removed for demand at most this often.
 constexpr Duration kRebalanceInterval = milliseconds(400);
 // A peer's demand is counted for this long after its last report.
@@ -300,9 +303,7 @@
 }
 
 void PlacementDriver::ReadReport(const serving::BackendServer& server) {
-  http::CallLimits limits;
-  limits.head_timeout = kReportTimeout;
-  limits.piece_timeout = kReportTimeout;
+  const http::CallLimits limits = InternalCallLimits(kReportTimeout);
   ++reports_in_flight_;
   client_.Fetch(
       server.address, adapter::MakeReportRequest(server.id), limits,
@@ -319,7 +320,12 @@
                      : Result<serving::EngineReport>(Fail(
                            ErrorCode::kUnavailable, response.error().message));
         if (!report) {
-          order_tracker_.OnReportFailed(now, id);
+          const bool body_failed =
+              !response && response.error().stage == http::Stage::kBody;
+          order_tracker_.OnReportFailed(now, id,
+                                        body_failed
+                                            ? kExcessiveReportRetryInterval
+                                            : kReportRetryInterval);
           telemetry::Log(Event::kServerUnreachable, report.error().message,
                          {{"server", id.value()}});
           return;
--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -82,9 +82,7 @@
                   {"target", TargetText(move.target)},
                   {"expected", std::to_string(order.expected)},
                   {"fence", std::to_string(lease_.fence())}});
-  http::CallLimits limits;
-  limits.head_timeout = kOrderTimeout;
-  limits.piece_timeout = kOrderTimeout;
+  http::CallLimits limits = InternalCallLimits(kOrderTimeout);
   limits.write_before = now + kOrderTimeout;
   client_.Fetch(
       server->address,
--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -6,6 +6,7 @@
 
 #include "log_text.h"
 #include "run_after.h"
+#include "server_state.h"
 
 namespace figwell::edge {
 namespace {
@@ -73,9 +74,7 @@
     return;
   }
   permits_.OnInternalCall(now, choice.server);
-  http::CallLimits limits;
-  limits.head_timeout = kCheckTimeout;
-  limits.piece_timeout = kCheckTimeout;
+  http::CallLimits limits = InternalCallLimits(kCheckTimeout);
   limits.fresh_connection = true;
   client_.Fetch(
       choice.address, *request, limits,
--- a/apps/edge/server_state.cc
+++ b/apps/edge/server_state.cc
@@ -7,6 +7,9 @@
 
 using telemetry::Event;
 
+// A report lists models, adapters and running requests, some ten bytes each.
+constexpr std::size_t kMaxInternalAnswerBytes = 131'072;
+
 void ApplyLimit(State& state, const AnsweredCall& call,
                 const std::optional<double>& per_second) {
   if (!state.directory.IsSameStart(call.server, call.started_ms)) {
@@ -25,6 +28,15 @@
 
 }  // namespace
 
+http::CallLimits InternalCallLimits(std::chrono::milliseconds timeout) {
+  http::CallLimits limits;
+  limits.head_timeout = timeout;
+  limits.piece_timeout = timeout;
+  limits.total_timeout = 2 * timeout;
+  limits.body_bytes = kMaxInternalAnswerBytes;
+  return limits;
+}
+
 void ApplyServerState(State& state, const AnsweredCall& call,
                       const adapter::ResponseHead& answer) {
   if (answer.leaving) {
--- a/apps/edge/server_state.h
+++ b/apps/edge/server_state.h
@@ -5,6 +5,14 @@
 
 namespace figwell::edge {
 
+/**
+ * Limits of an internal call to a server: a report, an order or a check. A
+ * faulty server may send bytes without end, and calls to many servers run at
+ * the same time, so an answer is bounded in size and in total time.
+ * @param timeout for the head, and for each piece of the body
+ */
+http::CallLimits InternalCallLimits(std::chrono::milliseconds timeout);
+
 /** A call to a server that was answered. */
 struct AnsweredCall {
   ServerId server;
--- a/libs/http/include/figwell/http.h
+++ b/libs/http/include/figwell/http.h
@@ -291,6 +291,11 @@
   std::chrono::milliseconds piece_timeout{30'000};
   /** For the complete body; applies to Fetch only. */
   std::size_t body_bytes = 8'388'608;
+  /**
+   * From the call to the last piece of the body; 0: no limit. Applies to Fetch
+   * only, when a piece arrives.
+   */
+  std::chrono::milliseconds total_timeout{0};
   /**
    * Opens a new connection rather than reuse an idle one: on an idle one, a
    * write may seem to succeed although the server has just closed it.
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -47,6 +47,19 @@
 // The answer that Fetch collects.
 struct FetchedAnswer {
   Response response;
+  TimePoint called_at = MonotonicNow();
+
+  /** Why no more pieces are accepted; nullopt if they are. */
+  std::optional<ClientError> Excess(const CallLimits& limits) const {
+    if (response.body.size() > limits.body_bytes) {
+      return ClientError{Stage::kBody, false, "the answer body is too large"};
+    }
+    if (limits.total_timeout.count() > 0 &&
+        MonotonicNow() - called_at > limits.total_timeout) {
+      return ClientError{Stage::kBody, true, "the answer body takes too long"};
+    }
+    return std::nullopt;
+  }
 };
 
 }  // namespace
@@ -67,15 +80,15 @@
       [this, weak = std::weak_ptr<State>(state_), fetched, limits, on_done, id](
           std::string_view piece, const std::function<void()>& resume) {
         fetched->response.body += piece;
-        if (fetched->response.body.size() <= limits.body_bytes) {
+        const auto excess = fetched->Excess(limits);
+        if (!excess) {
           resume();
           return;
         }
         if (weak.lock() != nullptr) {
           const auto done = on_done;
           Cancel(*id);
-          done(tl::unexpected(ClientError{Stage::kBody, false,
-                                          "the answer body is too large"}));
+          done(tl::unexpected(*excess));
         }
       };
   handlers.on_end = [fetched, on_done] {
--- a/libs/serving/include/figwell/serving/order_tracker.h
+++ b/libs/serving/include/figwell/serving/order_tracker.h
@@ -114,7 +114,8 @@
    */
   std::optional<ModelTarget> OnReport(TimePoint now, const ServerId& server,
                                       const EngineReport& report);
-  void OnReportFailed(TimePoint now, const ServerId& server);
+  /** @param retry how long until the report is requested again */
+  void OnReportFailed(TimePoint now, const ServerId& server, Duration retry);
 
   /**
    * Compares the server's state with its entry in the registry. If they differ
--- a/libs/serving/src/order_tracker.cc
+++ b/libs/serving/src/order_tracker.cc
@@ -204,10 +204,11 @@
   }
 }
 
-void OrderTracker::OnReportFailed(TimePoint now, const ServerId& server) {
+void OrderTracker::OnReportFailed(TimePoint now, const ServerId& server,
+                                  Duration retry) {
   State& state = states_[server];
   state.report_requested = false;
-  state.next_request_at = now + kReportRetryInterval;
+  state.next_request_at = now + retry;
 }
 
 const EngineView* OrderTracker::FindOrderable(TimePoint,
