--- a/libs/serving/src/leadership.cc
+++ b/libs/serving/src/leadership.cc
@@ -239,6 +239,7 @@
     resumes_until_ = renewed_ + kLeaseTtl - kLeaseSafetyMargin;
   }
   OnLeaseLost(now);
+  key_lease_ = 0;  // its id may be given out again
   led_since_restore_ = false;
   // A key that existed is reported again, or as removed.
   predecessor_revision_.reset();
--- a/libs/store/include/figwell/store.h
+++ b/libs/store/include/figwell/store.h
@@ -25,7 +25,7 @@
  */
 using Revision = std::int64_t;
 
-/** Identifies a lease; 0 means "no lease". May contain an era, see WithEra. */
+/** Identifies a lease; 0 means "no lease". */
 using LeaseId = std::int64_t;
 
 /**
@@ -35,21 +35,24 @@
  */
 using Era = std::int64_t;
 
-/** Bits of a revision or lease id below its era: the store's own number. */
-inline constexpr int kNumberBits = 40;
-inline constexpr Era kMaxEra = (Era{1} << (63 - kNumberBits)) - 1;
+/**
+ * Bits of a revision below its era. The store's count of writes stays far below
+ * 2^40: it grows by some thousands a second at most.
+ */
+inline constexpr int kRevisionBits = 40;
+inline constexpr Era kMaxEra = (Era{1} << (63 - kRevisionBits)) - 1;
 
 /**
- * A revision or lease id that is unique over restores: any number of an era is
- * greater than all of the eras before it. 0 has no era.
+ * A revision that is unique over restores: each one of an era is greater than
+ * all of the eras before it. 0 has no era.
  */
-constexpr std::int64_t WithEra(Era era, std::int64_t number) {
-  return number == 0 ? 0 : (era << kNumberBits) + number;
+constexpr Revision WithEra(Era era, Revision stated) {
+  return stated == 0 ? 0 : (era << kRevisionBits) + stated;
 }
-constexpr Era EraOf(std::int64_t with_era) { return with_era >> kNumberBits; }
-/** The number as the store states it. */
-constexpr std::int64_t WithoutEra(std::int64_t with_era) {
-  return with_era & ((std::int64_t{1} << kNumberBits) - 1);
+constexpr Era EraOf(Revision with_era) { return with_era >> kRevisionBits; }
+/** The revision as the store states it. */
+constexpr Revision WithoutEra(Revision with_era) {
+  return with_era & ((Revision{1} << kRevisionBits) - 1);
 }
 
 /** The maximum size of a value that the platform accepts, in bytes. */
