Take up unknown streams only with a current view of the servers

An instance that knew a single version took it for the only one.

Before such a stream goes on, the changes that the view may lack are read from the store, or peers that follow it have none that are newer.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -190,6 +190,9 @@
       stop_timer_(context_),
       follower_selection_(settings.instance) {
   state_.send_interim_status = [this] { SendInterimStatus(); };
+  state_.catch_up_with_servers = [this](std::function<void(bool)> on_done) {
+    CatchUpWithServers(std::move(on_done));
+  };
   state_.on_server_leaving = [this](const ServerId& id,
                                     std::int64_t started_ms) {
     OnServerLeaving(id, started_ms, std::nullopt);
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -54,6 +54,15 @@
   void OnChangesRequest(const InstanceId& from, MessageKind kind,
                         const ChangesRequestMessage& request);
   void OnChanges(MessageKind kind, const ChangesMessage& message);
+  /**
+   * Reads the newest entries of servers from the store. If it does not answer
+   * in time, it has to do that a peer which follows the store has none that are
+   * newer.
+   */
+  void CatchUpWithServers(std::function<void(bool)> on_done);
+  /** Reads them, again and again until `done` is set. */
+  void ReadServers(const std::shared_ptr<bool>& done,
+                   const std::function<void(bool)>& on_done);
   /** Peers have had newer entries for too long: reads from the store. */
   void OnStaleView(const SharedView& view);
   void OnServerEntries(const std::vector<serving::LoggedEntry>& entries);
@@ -150,6 +159,8 @@
   std::optional<store::KeyValue> leader_record_;
   bool instances_listed_ = false;
   TimePoint last_status_sent_;
+  /** When a status of a peer that follows the store last arrived. */
+  TimePoint follower_heard_;
   TimePoint last_build_announced_;
   std::optional<TimePoint> stopping_since_;
   bool accepting_ = true;
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -175,6 +175,9 @@
   domain_summary_.OnMemberReport(now, from, status.incarnation, loads,
                                  status.spending);
   follower_selection_.OnMemberReport(now, from, status.follows);
+  if (status.follows) {
+    follower_heard_ = now;
+  }
   CompareRevisions(from, kind, status);
 }
 
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -1,11 +1,16 @@
 #include "edge.h"
 #include "log_text.h"
+#include "run_after.h"
 
 namespace figwell::edge {
 namespace {
 
 using telemetry::Event;
 
+// A caller waits for this at most until its stream is taken up.
+constexpr Duration kCatchUpTimeout = std::chrono::milliseconds(300);
+constexpr Duration kCatchUpRetryInterval = std::chrono::milliseconds(30);
+
 // Decodes a registry entry; logs one that is invalid and returns nullopt.
 std::optional<serving::BackendServer> ReadServer(const store::KeyValue& item) {
   const ServerId id = adapter::ServerIdFromKey(item.key);
@@ -133,6 +138,38 @@
   }
 }
 
+void Edge::CatchUpWithServers(std::function<void(bool)> on_done) {
+  const auto done = std::make_shared<bool>(false);
+  // Calls back once, whichever comes first.
+  const std::function<void(bool)> finish =
+      [done, on_done = std::move(on_done)](bool caught_up) {
+        if (!std::exchange(*done, true)) {
+          on_done(caught_up);
+        }
+      };
+  // After a freeze, statuses from before it arrive first.
+  const TimePoint heard_since = MonotonicNow() + kCatchUpTimeout / 2;
+  RunAfter(context_, kCatchUpTimeout, [this, finish, heard_since] {
+    finish(follower_heard_ >= heard_since && !servers_view_.IsBehindPeers());
+  });
+  ReadServers(done, finish);
+}
+
+void Edge::ReadServers(const std::shared_ptr<bool>& done,
+                       const std::function<void(bool)>& on_done) {
+  servers_view_.CatchUp([this, done, on_done](bool caught_up) {
+    if (caught_up) {
+      on_done(true);
+    } else if (!*done) {
+      RunAfter(context_, kCatchUpRetryInterval, [this, done, on_done] {
+        if (!*done) {
+          ReadServers(done, on_done);
+        }
+      });
+    }
+  });
+}
+
 void Edge::OnStaleView(const SharedView& view) {
   telemetry::Log(Event::kDependencyLost,
                  "peers have newer entries; reading from the store",
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -79,9 +79,6 @@
     return;
   }
   BuildNeeds();
-  if (!FindStreamVersion()) {
-    return;
-  }
   SetDeadline();
   state_.on_stopping[number_] = [weak = weak_from_this()] {
     const auto self = weak.lock();
@@ -89,7 +86,11 @@
       self->SetDeadline();
     }
   };
-  StartAttempt();
+  if (TakesUpStream()) {
+    FindStreamVersion();
+  } else {
+    StartAttempt();
+  }
 }
 
 bool CallerRequest::TakesUpStream() const {
@@ -97,11 +98,19 @@
          route_->kind == serving::RequestKind::kStreaming;
 }
 
-bool CallerRequest::FindStreamVersion() {
-  if (!TakesUpStream()) {
-    return true;
-  }
-  needs_.version = versions_.Find(needs_.service, head_.first_request);
+void CallerRequest::FindStreamVersion() {
+  versions_.Find(
+      needs_.service, head_.first_request,
+      [self = shared_from_this()](std::optional<serving::VersionHash> version) {
+        if (!self->done_) {
+          self->OnStreamVersion(version);
+        }
+      });
+}
+
+void CallerRequest::OnStreamVersion(
+    std::optional<serving::VersionHash> version) {
+  needs_.version = version;
   state_.metrics
       .GetCounter(
           "figwell_streams_taken_up_total",
@@ -111,9 +120,9 @@
     // It will not be known later either.
     Refuse(serving::RefusalReason::kNoVersion, std::nullopt,
            "unknown version of stream " + head_.first_request.value());
-    return false;
+    return;
   }
-  return true;
+  StartAttempt();
 }
 
 bool CallerRequest::Authenticate() {
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -53,10 +53,11 @@
     return TakesUpStream() ? head_.first_request : head_.id;
   }
   /**
-   * Restricts a stream that is taken up to the version at which it began.
-   * @return false if that is not known; the request was refused then
+   * Restricts a stream that is taken up to the version at which it began, then
+   * starts an attempt. Refuses the request if that version is not known.
    */
-  bool FindStreamVersion();
+  void FindStreamVersion();
+  void OnStreamVersion(std::optional<serving::VersionHash> version);
   void SetDeadline();
   void OnDeadline();
   void OnCallerDisconnected();
--- a/apps/edge/shared_view.cc
+++ b/apps/edge/shared_view.cc
@@ -17,6 +17,8 @@
 // An instance that follows the store asks a peer only if its own watch has not
 // delivered a change within this time after the pause between watches.
 constexpr Duration kWatchDeliveryGrace = milliseconds(300);
+// The store answers a watch at once if it has changes, else after this time.
+constexpr milliseconds kCatchUpWait{1};
 // The view counts as stale if a peer has had a change for this long that is
 // missing here. Where changes come from peers, this has to be noticed within
 // the drain notice of a leaving server.
@@ -30,6 +32,7 @@
                        milliseconds max_watch_wait,
                        SharedViewCallbacks callbacks)
     : callbacks_(std::move(callbacks)),
+      store_(store),
       follower_(
           context, store, std::move(prefix), max_watch_wait,
           {[this](const adapter::Listing& listing) { OnListing(listing); },
@@ -76,6 +79,23 @@
   }
 }
 
+void SharedView::CatchUp(std::function<void(bool)> on_done) {
+  if (!follower_.listed()) {
+    on_done(false);
+    return;
+  }
+  store_.Watch(follower_.prefix(), log_.newest(), kCatchUpWait,
+               [this, on_done = std::move(on_done)](
+                   const Result<store::WatchBatch>& batch) {
+                 if (batch) {
+                   for (const store::WatchEvent& event : batch->events) {
+                     OnEvent(event);
+                   }
+                 }
+                 on_done(batch.has_value());
+               });
+}
+
 void SharedView::OnPeerRevision(TimePoint now, const InstanceId& peer,
                                 store::Revision newest, bool may_request) {
   max_peer_revision_ = std::max(max_peer_revision_, newest);
--- a/apps/edge/shared_view.h
+++ b/apps/edge/shared_view.h
@@ -45,6 +45,12 @@
   /** Lists all items again, also while another call is in flight. */
   void Refresh() { follower_.Refresh(); }
 
+  /**
+   * Reads the changes that the view may lack from the store.
+   * @param on_done gets whether the view has all changes up to this call
+   */
+  void CatchUp(std::function<void(bool)> on_done);
+
   /**
    * A peer reported that it has everything up to this revision.
    * @param may_request whether the peer's changes can be used
@@ -65,6 +71,8 @@
   bool IsActiveFollower() const {
     return follower_.following() && follower_.answering();
   }
+  /** Whether a peer has reported changes that are missing here. */
+  bool IsBehindPeers() const { return max_peer_revision_ > log_.newest(); }
   bool following() const { return follower_.following(); }
   bool listed() const { return follower_.listed(); }
   store::Revision newest() const { return log_.newest(); }
@@ -75,6 +83,7 @@
   void OnEvent(const store::WatchEvent& event);
 
   SharedViewCallbacks callbacks_;
+  adapter::StoreClient& store_;
   StoreFollower follower_;
   serving::ChangeLog log_;
   store::Revision max_peer_revision_ = 0;
--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -53,6 +53,11 @@
   /** Called when `stops_at` is set; each request has one under its number. */
   std::map<std::uint64_t, std::function<void()>> on_stopping;
   std::uint64_t next_request_number = 1;
+  /**
+   * Calls back with whether this instance knows all servers that registered
+   * before the call.
+   */
+  std::function<void(std::function<void(bool)>)> catch_up_with_servers;
   /**
    * Marks a server as leaving and announces it to the peers. `started_ms` is
    * the start time of the server process that is leaving.
--- a/apps/edge/version_driver.cc
+++ b/apps/edge/version_driver.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include "log_text.h"
 #include "run_after.h"
@@ -92,12 +93,38 @@
   peers_.Announce(MessageKind::kStreamsBegan, message, from);
 }
 
-std::optional<serving::VersionHash> VersionDriver::Find(
-    const ServiceId& service, const RequestId& first_request) const {
-  return records_listed_
-             ? state_.stream_versions.Find(MonotonicNow(), service,
-                                           serving::HashOfStream(first_request))
-             : std::nullopt;
+void VersionDriver::Find(
+    const ServiceId& service, const RequestId& first_request,
+    std::function<void(std::optional<serving::VersionHash>)> on_found) {
+  const TimePoint now = MonotonicNow();
+  const serving::StreamHash stream = serving::HashOfStream(first_request);
+  if (!records_listed_) {
+    on_found(std::nullopt);
+  } else if (state_.stream_versions.Began(now, stream)) {
+    on_found(state_.stream_versions.Find(now, service, stream));
+  } else {
+    searches_.push_back({service, stream, std::move(on_found)});
+    CatchUp();
+  }
+}
+
+void VersionDriver::CatchUp() {
+  if (catching_up_ || searches_.empty()) {
+    return;
+  }
+  catching_up_ = true;
+  // Searches that come later need another read of the store.
+  state_.catch_up_with_servers(
+      [this, searches = std::exchange(searches_, {})](bool caught_up) {
+        catching_up_ = false;
+        const TimePoint now = MonotonicNow();
+        for (const Search& search : searches) {
+          search.on_found(caught_up ? state_.stream_versions.Find(
+                                          now, search.service, search.stream)
+                                    : std::nullopt);
+        }
+        CatchUp();
+      });
 }
 
 // ------------------------------------------------------------------ records
--- a/apps/edge/version_driver.h
+++ b/apps/edge/version_driver.h
@@ -30,11 +30,13 @@
   void OnCompleted(const RequestId& first_request);
   void OnMessage(const InstanceId& from, const StreamsBeganMessage& message);
   /**
-   * The version at which a stream may go on; nullopt if it is not known, or if
-   * the records have not been read.
+   * Finds the version at which a stream may go on; nullopt if it is not known,
+   * or if the records have not been read. That all streams of a service began
+   * at its single version is assumed only once all servers are known that have
+   * registered: an instance that was cut off or stood still may not know them.
    */
-  std::optional<serving::VersionHash> Find(
-      const ServiceId& service, const RequestId& first_request) const;
+  void Find(const ServiceId& service, const RequestId& first_request,
+            std::function<void(std::optional<serving::VersionHash>)> on_found);
   /** All records of the store have been read once. */
   void OnRecordsListed() { records_listed_ = true; }
   /** A record below RecordsPrefix was written or removed. */
@@ -51,6 +53,15 @@
     store::Revision revision = 0;
   };
 
+  struct Search {
+    ServiceId service;
+    serving::StreamHash stream = 0;
+    std::function<void(std::optional<serving::VersionHash>)> on_found;
+  };
+
+  /** Finds the versions of the streams that wait, once all servers are known.
+   */
+  void CatchUp();
   void AnnounceStreams(const ServiceId& service);
   void Announce(serving::VersionHash version,
                 const std::vector<serving::StreamHash>& streams);
@@ -70,6 +81,8 @@
   std::map<ServiceId, Record> records_;
   /** Services whose records are about to be written. */
   std::set<ServiceId> saving_;
+  std::vector<Search> searches_;  // wait for the next CatchUp
+  bool catching_up_ = false;
   bool records_listed_ = false;
   TimePoint last_tick_;
 };
--- a/libs/http/tests/fetch_limits_test.cc
+++ b/libs/http/tests/fetch_limits_test.cc
@@ -25,7 +25,8 @@
         interval_(interval) {
     acceptor_.async_accept(socket_, [this](const auto& error) {
       if (!error) {
-        piece_.insert(0, "HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n");
+        piece_.insert(0,
+                      "HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n");
         SendPiece();
       }
     });
--- a/libs/serving/src/stream_versions.cc
+++ b/libs/serving/src/stream_versions.cc
@@ -64,12 +64,16 @@
   }
 }
 
+bool StreamVersions::Began(TimePoint now, StreamHash stream) const {
+  const auto found = streams_.find(stream);
+  return found != streams_.end() && now - found->second.began_at < kRetention;
+}
+
 std::optional<VersionHash> StreamVersions::Find(TimePoint now,
                                                 const ServiceId& service,
                                                 StreamHash stream) const {
-  if (const auto found = streams_.find(stream);
-      found != streams_.end() && now - found->second.began_at < kRetention) {
-    return found->second.version;
+  if (Began(now, stream)) {
+    return streams_.at(stream).version;
   }
   const std::set<VersionHash> versions = Versions(now, service);
   return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
