Refuse requests that may outlive a stopping process

What becomes complete later than 3 s after the stop is refused before it has run, unless it is no stream and its route's timeout ends in time.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -370,6 +370,7 @@
 
 void Edge::Stop() {
   stopping_since_ = MonotonicNow();
+  state_.stopping_since = stopping_since_;
   telemetry::Log(Event::kStopping, {},
                  {{"active", std::to_string(state_.active_requests)}});
   callers_.CloseAfterAnswers();
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -75,6 +75,12 @@
            head_.host + head_.path);
     return;
   }
+  if (state_.stopping_since &&
+      serving::MayOutliveProcess(*route_, arrived_ - *state_.stopping_since,
+                                 *state_.stops_at - arrived_)) {
+    Refuse(serving::RefusalReason::kStopping, Duration{0}, {});
+    return;
+  }
   if (!Authenticate() || !ChargeTeam()) {
     return;
   }
--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -48,6 +48,7 @@
   std::size_t instances = 1;
   Random random;
   std::size_t active_requests = 0;
+  std::optional<TimePoint> stopping_since;
   /** Once the process is stopping: all requests are answered before this. */
   std::optional<TimePoint> stops_at;
   /** Called when `stops_at` is set; each request has one under its number. */
--- a/libs/serving/include/figwell/serving/admission.h
+++ b/libs/serving/include/figwell/serving/admission.h
@@ -26,10 +26,20 @@
   kLimited,      ///< every server that could take it is at its limit
   kQuarantined,  ///< servers crash on it
   kNoVersion,    ///< no server can continue its stream
+  kStopping,     ///< this process may end before the answer does
 };
 
 std::string_view Name(RefusalReason reason);
 
+/**
+ * Whether a process that stops is to refuse a request that has just become
+ * complete, since the answer might be cut: another instance can answer it.
+ * @param since_stop since the process was told to stop
+ * @param until_end until it ends
+ */
+bool MayOutliveProcess(const Route& route, Duration since_stop,
+                       Duration until_end);
+
 /**
  * Priority by which a server orders its waiting requests; 0 is first. Requests
  * with a short latency target go before those with a long one.
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -18,6 +18,9 @@
 constexpr int kQueueTargetDivisor = 2;
 // Callers accept a Retry-After of up to their remaining time divided by this.
 constexpr int kRetryAfterDivisor = 3;
+// Callers of a process that stops learn of it within this time. What they sent
+// before is answered as far as the grace lasts.
+constexpr Duration kStopAcceptTime = milliseconds(3'000);
 // Delay from demand to its order, plus from the end of a load to its
 // announcement.
 constexpr Duration kOrderAndAnnounceDelay = milliseconds(200);
@@ -50,10 +53,21 @@
       return "quarantined";
     case RefusalReason::kNoVersion:
       return "no_version";
+    case RefusalReason::kStopping:
+      return "stopping";
   }
   return "unknown";
 }
 
+bool MayOutliveProcess(const Route& route, Duration since_stop,
+                       Duration until_end) {
+  if (since_stop < kStopAcceptTime) {
+    return false;
+  }
+  return route.kind == RequestKind::kStreaming || route.timeout.count() == 0 ||
+         route.timeout > until_end;
+}
+
 int ServerPriority(const Route& route) {
   if (route.latency_target <= kShortLatencyTarget) {
     return std::clamp(kShortTargetPriority + std::min(route.rank, 1), 0,
