--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -220,6 +220,9 @@
   }
   if (change == ServerChange::kGone) {
     state_.balancer.OnServerGone(MonotonicNow(), id);
+    if (!state_.balancer.limits().Find(id)) {
+      permits_.RemoveServer(id);
+    }
   } else if (change == ServerChange::kRestarted) {
     state_.balancer.RemoveServer(id);
     permits_.RemoveServer(id);
--- a/apps/edge/version_driver.h
+++ b/apps/edge/version_driver.h
@@ -59,8 +59,7 @@
     std::function<void(std::optional<serving::VersionHash>)> on_found;
   };
 
-  /** Finds the versions of the streams that wait, once all servers are known.
-   */
+  /** Continues the searches once all servers are known. */
   void CatchUp();
   void AnnounceStreams(const ServiceId& service);
   void Announce(serving::VersionHash version,
