--- a/libs/serving/tests/leadership_test.cc
+++ b/libs/serving/tests/leadership_test.cc
@@ -333,6 +333,43 @@
   std::vector<Order> orders_;
 };
 
+// A fault of one process, or of all, for some time.
+struct Fault {
+  std::size_t affected = 0;
+  int kind = 0;
+  std::int64_t length = 0;
+};
+
+Fault DrawFault() {
+  constexpr int kKinds = 7;  // the last one is no fault
+  return {*rc::gen::inRange<std::size_t>(0, 3), *rc::gen::inRange(0, kKinds),
+          *rc::gen::inRange<std::int64_t>(100, 9'000)};
+}
+
+void Inject(Simulation& simulation, const Fault& fault) {
+  if (fault.kind == 0) {
+    simulation.Freeze(fault.affected, simulation.now() + fault.length);
+  } else if (fault.kind == 1) {
+    simulation.SetDisconnected(fault.affected, true);
+  } else if (fault.kind == 2) {
+    simulation.LoseResponses(true);
+  } else if (fault.kind == 3) {
+    simulation.Restart(fault.affected);
+  } else if (fault.kind == 4) {
+    for (std::size_t i = 0; i < 3; ++i) {
+      simulation.Restart(i);
+    }
+  } else if (fault.kind == 5) {
+    simulation.SetWatchDelay(fault.affected, fault.length / 4);
+  }
+}
+
+void Heal(Simulation& simulation, const Fault& fault) {
+  simulation.SetDisconnected(fault.affected, false);
+  simulation.LoseResponses(false);
+  simulation.SetWatchDelay(fault.affected, 0);
+}
+
 TEST_CASE("one process leads once the separation has passed") {
   Simulation simulation(3);
   while (simulation.now() < 3'000) {
@@ -350,31 +387,13 @@
   testing::CheckSequences(60, [] {
     Simulation simulation(3);
     for (int phase = 0; phase < 8; ++phase) {
-      const auto affected = *rc::gen::inRange<std::size_t>(0, 3);
-      const auto fault = *rc::gen::inRange(0, 7);
-      const auto length = *rc::gen::inRange<std::int64_t>(100, 9'000);
-      if (fault == 0) {
-        simulation.Freeze(affected, simulation.now() + length);
-      } else if (fault == 1) {
-        simulation.SetDisconnected(affected, true);
-      } else if (fault == 2) {
-        simulation.LoseResponses(true);
-      } else if (fault == 3) {
-        simulation.Restart(affected);
-      } else if (fault == 4) {
-        for (std::size_t i = 0; i < 3; ++i) {
-          simulation.Restart(i);
-        }
-      } else if (fault == 5) {
-        simulation.SetWatchDelay(affected, length / 4);
-      }
-      const std::int64_t until = simulation.now() + length;
+      const Fault fault = DrawFault();
+      Inject(simulation, fault);
+      const std::int64_t until = simulation.now() + fault.length;
       while (simulation.now() < until) {
         simulation.Step();
       }
-      simulation.SetDisconnected(affected, false);
-      simulation.LoseResponses(false);
-      simulation.SetWatchDelay(affected, 0);
+      Heal(simulation, fault);
     }
     RC_ASSERT_FALSE(simulation.ViolatedSeparation());
   });
@@ -385,24 +404,8 @@
     Simulation simulation(3);
     simulation.StateEra();
     for (int phase = 0; phase < 8; ++phase) {
-      const auto affected = *rc::gen::inRange<std::size_t>(0, 3);
-      const auto fault = *rc::gen::inRange(0, 8);
-      const auto length = *rc::gen::inRange<std::int64_t>(100, 9'000);
-      if (fault == 0) {
-        simulation.Freeze(affected, simulation.now() + length);
-      } else if (fault == 1) {
-        simulation.SetDisconnected(affected, true);
-      } else if (fault == 2) {
-        simulation.LoseResponses(true);
-      } else if (fault == 3) {
-        simulation.Restart(affected);
-      } else if (fault == 4) {
-        for (std::size_t i = 0; i < 3; ++i) {
-          simulation.Restart(i);
-        }
-      } else if (fault == 5) {
-        simulation.SetWatchDelay(affected, length / 4);
-      }
+      const Fault fault = DrawFault();
+      Inject(simulation, fault);
       const int restores = *rc::gen::inRange(0, 3);
       for (int restore = 0; restore < restores; ++restore) {
         simulation.Restore(*rc::gen::inRange<std::int64_t>(0, 12'000));
@@ -412,13 +415,11 @@
           simulation.Step();
         }
       }
-      const std::int64_t until = simulation.now() + length;
+      const std::int64_t until = simulation.now() + fault.length;
       while (simulation.now() < until) {
         simulation.Step();
       }
-      simulation.SetDisconnected(affected, false);
-      simulation.LoseResponses(false);
-      simulation.SetWatchDelay(affected, 0);
+      Heal(simulation, fault);
     }
     RC_ASSERT_FALSE(simulation.ViolatedSeparation());
     RC_ASSERT_FALSE(simulation.ViolatedFencing());
