--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -273,7 +273,7 @@
 }
 
 bool Edge::Ready() const {
-  return !stopping_since_ && state_.catalog != nullptr &&
+  return !state_.stopping_since && state_.catalog != nullptr &&
          servers_view_.listed() && instances_view_.listed();
 }
 
@@ -324,7 +324,7 @@
     ReloadSettings();
     return;
   }
-  if (stopping_since_) {
+  if (state_.stopping_since) {
     telemetry::Log(Event::kSecondSignal, {});
     context_.stop();
     return;
@@ -369,14 +369,14 @@
 // ----------------------------------------------------------------- shutdown
 
 void Edge::Stop() {
-  stopping_since_ = MonotonicNow();
-  state_.stopping_since = stopping_since_;
+  state_.stopping_since = MonotonicNow();
   telemetry::Log(Event::kStopping, {},
                  {{"active", std::to_string(state_.active_requests)}});
   callers_.CloseAfterAnswers();
-  state_.stops_at = std::max(
-      *stopping_since_, *stopping_since_ + state_.settings.bounds.stop_grace -
-                            kStopGraceMargin - kLastAnswersTime);
+  state_.stops_at =
+      std::max(*state_.stopping_since, *state_.stopping_since +
+                                           state_.settings.bounds.stop_grace -
+                                           kStopGraceMargin - kLastAnswersTime);
   for (const auto& [number, on_stopping] : state_.on_stopping) {
     on_stopping();
   }
@@ -386,7 +386,7 @@
 }
 
 void Edge::CheckStopped() {
-  const Duration elapsed = MonotonicNow() - *stopping_since_;
+  const Duration elapsed = MonotonicNow() - *state_.stopping_since;
   if (accepting_ && elapsed >= kReadinessDetectionDelay) {
     accepting_ = false;
     callers_.StopAccepting();
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -162,7 +162,6 @@
   /** When a status of a peer that follows the store last arrived. */
   TimePoint follower_heard_;
   TimePoint last_build_announced_;
-  std::optional<TimePoint> stopping_since_;
   bool accepting_ = true;
 };
 
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -345,10 +345,10 @@
   }
   last_status_sent_ = now;
   const auto spending = state_.rate_limiter.TakeOwnReport(now);
+  const auto own_domain = peers_.ReachableInOwnDomain();
   for (StatusMessage& part : MakeStatus(incarnation_, {}, spending)) {
     part.first = false;  // the loads reported before stay valid
-    peers_.SendRevisions(peers_.ReachableInOwnDomain(), MessageKind::kStatus,
-                         part);
+    peers_.SendRevisions(own_domain, MessageKind::kStatus, part);
   }
   SendDomainStatus(now, nullptr, spending);
 }
@@ -357,9 +357,9 @@
   last_status_sent_ = now;
   const auto loads = state_.balancer.OwnLoads();
   const auto spending = state_.rate_limiter.TakeOwnReport(now);
+  const auto own_domain = peers_.ReachableInOwnDomain();
   for (const StatusMessage& part : MakeStatus(incarnation_, loads, spending)) {
-    peers_.SendRevisions(peers_.ReachableInOwnDomain(), MessageKind::kStatus,
-                         part);
+    peers_.SendRevisions(own_domain, MessageKind::kStatus, part);
   }
   SendDomainStatus(now, &loads, spending);
   status_timer_.expires_after(kStatusInterval);
--- a/apps/edge/peer_group.cc
+++ b/apps/edge/peer_group.cc
@@ -149,14 +149,12 @@
 }
 
 void PeerGroup::AnnounceBuild() {
-  std::set<InstanceId> to;
-  for (const InstanceId& peer : ReachableInOwnDomain()) {
-    to.insert(peer);
-  }
+  std::vector<InstanceId> to = ReachableInOwnDomain();
   for (const auto& [domain, delegate] : Delegates()) {
-    to.insert(delegate);
+    if (domain != settings_.failure_domain) {
+      to.push_back(delegate);
+    }
   }
-  to.erase(settings_.instance);
   for (const InstanceId& peer : to) {
     if (!UnderstandsEras(peer)) {
       Send(peer, MessageKind::kBuild, BuildMessage{});
--- a/apps/edge/peer_group.h
+++ b/apps/edge/peer_group.h
@@ -70,8 +70,8 @@
    * Sends a message that contains revisions: with their eras to peers that
    * understand eras, without them to others.
    */
-  template <typename Message, typename Peers>
-  void SendRevisions(const Peers& to, MessageKind kind,
+  template <typename Message>
+  void SendRevisions(const std::vector<InstanceId>& to, MessageKind kind,
                      const Message& message) {
     const std::string with_eras = peers::Pack(message);
     std::string without_eras;
@@ -93,10 +93,8 @@
   template <typename Message>
   void SendToOwnDomain(MessageKind kind, const Message& message) {
     const std::string bytes = peers::Pack(message);
-    for (const auto& [peer, domain] : Reachable()) {
-      if (domain == settings_.failure_domain) {
-        SendBytes(peer, kind, bytes);
-      }
+    for (const InstanceId& peer : ReachableInOwnDomain()) {
+      SendBytes(peer, kind, bytes);
     }
   }
 
--- a/apps/edge/quarantine_driver.cc
+++ b/apps/edge/quarantine_driver.cc
@@ -196,8 +196,7 @@
     Save(traits);
     return;
   }
-  RunWithin(state_.context, state_.random, kMaxSaveDelay,
-            [this, traits] { Save(traits); });
+  SaveSoon(traits);
 }
 
 void QuarantineDriver::OnAnswer(const ServiceId& service,
@@ -288,8 +287,7 @@
   }
   if (store::EraOf(stored.mapped()) < store::EraOf(entry.revision)) {
     // Not lifted: the copy that the store was restored from lacks it.
-    RunWithin(state_.context, state_.random, kMaxSaveDelay,
-              [this, traits] { Save(traits); });
+    SaveSoon(traits);
     return;
   }
   Remove(traits, Source::kStore);
@@ -304,6 +302,11 @@
   RunAfter(state_.context, kStoreRetryInterval, std::move(handler));
 }
 
+void QuarantineDriver::SaveSoon(const serving::TraitSet& traits) {
+  RunWithin(state_.context, state_.random, kMaxSaveDelay,
+            [this, traits] { Save(traits); });
+}
+
 void QuarantineDriver::Save(const serving::TraitSet& traits) {
   if (stored_.contains(traits) ||
       !state_.quarantine.Contains(MonotonicNow(), traits)) {
--- a/apps/edge/quarantine_driver.h
+++ b/apps/edge/quarantine_driver.h
@@ -74,6 +74,8 @@
   /** Tells the peers that an entry is in force, or no longer is. */
   void Announce(const serving::TraitSet& traits, bool active);
 
+  /** Save after a random delay: all instances do the same. */
+  void SaveSoon(const serving::TraitSet& traits);
   /** Writes an entry to the store, unless it is there or has been lifted. */
   void Save(const serving::TraitSet& traits);
   void WriteEntry(const serving::TraitSet& traits, store::LeaseId lease);
--- a/apps/edge/version_driver.cc
+++ b/apps/edge/version_driver.cc
@@ -100,8 +100,9 @@
   const serving::StreamHash stream = serving::HashOfStream(first_request);
   if (!records_listed_) {
     on_found(std::nullopt);
-  } else if (state_.stream_versions.Began(now, stream)) {
-    on_found(state_.stream_versions.Find(now, service, stream));
+  } else if (const auto version =
+                 state_.stream_versions.FindBegun(now, stream)) {
+    on_found(version);
   } else {
     searches_.push_back({service, stream, std::move(on_found)});
     CatchUp();
--- a/libs/serving/include/figwell/serving/stream_versions.h
+++ b/libs/serving/include/figwell/serving/stream_versions.h
@@ -59,8 +59,8 @@
   void OnCompleted(StreamHash stream);
   /** A stream began at a version, at another instance. */
   void OnBeganElsewhere(TimePoint now, StreamHash stream, VersionHash version);
-  /** Whether the stream is known to have begun, here or elsewhere. */
-  bool Began(TimePoint now, StreamHash stream) const;
+  /** The version at which the stream is known to have begun, if it is. */
+  std::optional<VersionHash> FindBegun(TimePoint now, StreamHash stream) const;
   /**
    * The version at which the service's stream may go on; nullopt if it is not
    * known.
--- a/libs/serving/src/directory.cc
+++ b/libs/serving/src/directory.cc
@@ -46,16 +46,14 @@
 }
 
 std::vector<ServerId> Directory::AcceptRestored(TimePoint now) {
-  std::vector<BackendServer> due;
+  std::vector<ServerId> accepted;
   for (const auto& [id, entry] : restored_) {
     if (now >= entry.accepted_at) {
-      due.push_back(entry.server);
+      accepted.push_back(id);
     }
   }
-  std::vector<ServerId> accepted;
-  for (BackendServer& server : due) {
-    accepted.push_back(server.id);
-    Put(std::move(server));
+  for (const ServerId& id : accepted) {
+    Put(restored_.at(id).server);
   }
   return accepted;
 }
--- a/libs/serving/src/order_tracker.cc
+++ b/libs/serving/src/order_tracker.cc
@@ -59,8 +59,8 @@
 
 void OrderTracker::ExpectLateLoad(TimePoint now, const ServerId& server) {
   DropExpiredOrders(now);
-  Order unknown{server, OrderAction::kLoad, {}, 0};
-  unknown.expected = std::numeric_limits<std::int64_t>::max();
+  const Order unknown{
+      server, OrderAction::kLoad, {}, std::numeric_limits<std::int64_t>::max()};
   unanswered_[server].push_back({unknown, now, true});
 }
 
--- a/libs/serving/src/stream_versions.cc
+++ b/libs/serving/src/stream_versions.cc
@@ -64,16 +64,19 @@
   }
 }
 
-bool StreamVersions::Began(TimePoint now, StreamHash stream) const {
+std::optional<VersionHash> StreamVersions::FindBegun(TimePoint now,
+                                                     StreamHash stream) const {
   const auto found = streams_.find(stream);
-  return found != streams_.end() && now - found->second.began_at < kRetention;
+  return found != streams_.end() && now - found->second.began_at < kRetention
+             ? std::optional(found->second.version)
+             : std::nullopt;
 }
 
 std::optional<VersionHash> StreamVersions::Find(TimePoint now,
                                                 const ServiceId& service,
                                                 StreamHash stream) const {
-  if (Began(now, stream)) {
-    return streams_.at(stream).version;
+  if (const auto version = FindBegun(now, stream)) {
+    return version;
   }
   const std::set<VersionHash> versions = Versions(now, service);
   return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
