Play orders without a response with one piece of code in two tests

Cause: restarted_server_test.cc had copied from late_orders_test.cc how orders are lost, executed late and answered.

Change: played_orders.h has it for both.

--- a/libs/serving/tests/late_orders_test.cc
+++ b/libs/serving/tests/late_orders_test.cc
@@ -7,6 +7,7 @@
 #include "figwell/serving/order_tracker.h"
 #include "figwell/serving/replicas.h"
 #include "figwell/testing.h"
+#include "played_orders.h"
 
 // Guards against models that become unreachable because servers leave a
 // fraction of their orders without a response and execute them seconds later.
@@ -19,17 +20,12 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kTick{40};
-constexpr milliseconds kSimulatedTime{120'000};
 constexpr milliseconds kHotModelInterval{8'000};
 constexpr milliseconds kLoadTime{1'200};
-constexpr milliseconds kResponseTime{10};
-constexpr milliseconds kResponseTimeout{300};
 constexpr milliseconds kUnloadNotice{300};
 constexpr milliseconds kHeartbeatInterval{1'200};
 constexpr milliseconds kRegistryDelay{800};
 constexpr milliseconds kRegistryLag{3'000};
-constexpr double kLostOrderFraction = 0.3;
 constexpr int kServers = 7;
 constexpr int kModels = 4;
 // The delay of a lost unload: no response, another report, the announcement of
@@ -45,17 +41,8 @@
 
 const ServiceId kService("models");
 
-ModelId Model(int number) {
-  return ModelId(std::string("m").append(std::to_string(number)));
-}
-
 /** A server that executes one order at a time. */
 struct Engine {
-  struct LateOrder {
-    TimePoint at;
-    Order order;
-  };
-
   std::optional<ModelId> held_model;
   std::optional<Order> order;
   TimePoint order_end;
@@ -86,30 +73,17 @@
       }
       order.reset();
     }
-    for (const LateOrder& late_order : late_orders) {
-      if (now >= late_order.at) {
-        Accept(now, late_order.order);
-      }
-    }
-    std::erase_if(late_orders, [&](const LateOrder& late_order) {
-      return now >= late_order.at;
-    });
+    ExecuteLateOrders(now, *this);
   }
 };
 
 class Simulation {
  public:
-  explicit Simulation(std::uint64_t seed) : random_(seed) {
-    engine_.weights_mb = 72'700;
-    for (int i = 0; i < kModels; ++i) {
-      ModelSpec spec;
-      spec.id = Model(i);
-      spec.weights_mb = 72'700;
-      spec.load_time = kLoadTime;
-      engine_.models.emplace(spec.id, spec);
-    }
+  explicit Simulation(std::uint64_t seed)
+      : random_(seed),
+        engine_(MakeEngineSpec(kModels, 72'700, /*model_slots=*/1, kLoadTime)) {
     for (int i = 0; i < kServers; ++i) {
-      const ServerId id(std::string("s").append(std::to_string(i)));
+      const ServerId id = Server(i);
       engines_[id].held_model = Model(i % kModels);
       engines_[id].registered = engines_[id].held_model;
       Register(id);
@@ -124,7 +98,7 @@
         engine.Advance(now_);
         UpdateHeartbeat(id, engine);
       }
-      DeliverResponses();
+      orders_.DeliverResponses(now_, tracker_);
       ReadReports();
       SendDueUnloads();
       Plan();
@@ -134,12 +108,6 @@
   }
 
  private:
-  struct Response {
-    TimePoint at;
-    Order order;
-    OrderOutcome outcome;
-  };
-
   void Register(const ServerId& id) {
     BackendServer server;
     server.id = id;
@@ -167,31 +135,7 @@
 
   void SendOrder(const ServerId& id, OrderAction action, const ModelId& model) {
     const Order order = tracker_.Begin(now_, id, action, {model, {}});
-    if (random_.Unit() < kLostOrderFraction) {
-      const milliseconds delay(2'000 + static_cast<int>(random_.Below(10'000)));
-      engines_[id].late_orders.push_back({now_ + delay, order});
-      responses_.push_back(
-          {now_ + kResponseTimeout, order, OrderOutcome::kUnknown});
-      return;
-    }
-    const bool accepted = engines_[id].Accept(now_, order);
-    responses_.push_back(
-        {now_ + kResponseTime, order,
-         accepted ? OrderOutcome::kAccepted : OrderOutcome::kConflict});
-  }
-
-  void DeliverResponses() {
-    for (const Response& response : responses_) {
-      if (now_ >= response.at) {
-        const bool loads = response.order.action == OrderAction::kLoad;
-        tracker_.OnOutcome(
-            now_, response.order, response.outcome,
-            loads ? Duration(kLoadTime) : Duration(kResponseTime));
-      }
-    }
-    std::erase_if(responses_, [&](const Response& response) {
-      return now_ >= response.at;
-    });
+    orders_.Send(now_, order, random_, engines_[id]);
   }
 
   void ReadReports() {
@@ -290,7 +234,7 @@
   OrderTracker tracker_;
   Directory directory_;
   Balancer balancer_{DomainId("here"), 1, kRegistryLag};
-  std::vector<Response> responses_;
+  PlayedOrders orders_{kLoadTime};
   std::map<ServerId, std::pair<TimePoint, ModelId>> unloads_;
   std::map<int, TimePoint> last_served_;
   Duration max_unavailable_{0};
--- a/libs/serving/tests/restarted_server_test.cc
+++ b/libs/serving/tests/restarted_server_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <map>
 #include <optional>
 #include <vector>
@@ -6,6 +7,7 @@
 #include "figwell/serving/order_tracker.h"
 #include "figwell/serving/replicas.h"
 #include "figwell/testing.h"
+#include "played_orders.h"
 
 // Guards against a server that is filled beyond its memory by an order that was
 // sent to an earlier start of it. Simulates, in virtual time, servers that
@@ -18,32 +20,20 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kTick{40};
-constexpr milliseconds kSimulatedTime{120'000};
 constexpr milliseconds kLoadTime{600};
-constexpr milliseconds kResponseTime{10};
-constexpr milliseconds kResponseTimeout{300};
 constexpr milliseconds kHotModelInterval{2'500};
-constexpr milliseconds kMaxLateness{12'000};
-constexpr double kLostOrderFraction = 0.3;
-constexpr std::size_t kSlots = 3;
+constexpr int kSlots = 3;
 constexpr int kServers = 3;
 constexpr int kModels = 11;
 constexpr double kModelMb = 72'700;
 
-const ServiceId kService("models");
-
-ModelId Model(int number) {
-  return ModelId(std::string("m").append(std::to_string(number)));
-}
-
 /** A server that executes one order at a time. */
 struct Engine {
   HeldModels models;
   std::optional<Order> order;
   TimePoint order_end;
   std::int64_t accepted = 0;
-  std::vector<std::pair<TimePoint, Order>> late_orders;
+  std::vector<LateOrder> late_orders;
   std::optional<TimePoint> down_until;
   bool overfilled = false;
 
@@ -59,7 +49,7 @@
       models.erase(new_order.target.model);
     } else {
       overfilled = overfilled || (!models.contains(new_order.target.model) &&
-                                  models.size() == kSlots);
+                                  std::ssize(models) == kSlots);
     }
     return true;
   }
@@ -78,14 +68,7 @@
       }
       order.reset();
     }
-    for (const auto& [at, late_order] : late_orders) {
-      if (now >= at) {
-        Accept(now, late_order);
-      }
-    }
-    std::erase_if(late_orders, [&](const auto& late_order) {
-      return now >= late_order.first;
-    });
+    ExecuteLateOrders(now, *this);
   }
 };
 
@@ -93,22 +76,14 @@
  public:
   /** @param leader_changes whether another process leads from time to time */
   Simulation(std::uint64_t seed, bool leader_changes)
-      : random_(seed), leader_changes_(leader_changes) {
-    engine_.weights_mb = kSlots * kModelMb;
-    for (int i = 0; i < kModels; ++i) {
-      ModelSpec spec;
-      spec.id = Model(i);
-      spec.weights_mb = kModelMb;
-      spec.load_time = kLoadTime;
-      engine_.models.emplace(spec.id, spec);
-    }
+      : random_(seed),
+        leader_changes_(leader_changes),
+        engine_(MakeEngineSpec(kModels, kModelMb, kSlots, kLoadTime)) {
     for (int i = 0; i < kServers; ++i) {
       // Full without any order, unlike after a restart: late orders meet
       // other numbers of models.
-      Engine& engine =
-          engines_[ServerId(std::string("s").append(std::to_string(i)))];
-      for (std::size_t slot = 0; slot < kSlots; ++slot) {
-        engine.models[Model(static_cast<int>(slot))] = {};
+      for (int slot = 0; slot < kSlots; ++slot) {
+        engines_[Server(i)].models[Model(slot)] = {};
       }
     }
   }
@@ -125,9 +100,9 @@
         leader_ = 1 - leader_;
         leads_since_ = now_;
         Leader().Clear();
-        responses_.clear();
+        orders_.DropResponses();
       }
-      DeliverResponses();
+      orders_.DeliverResponses(now_, Leader());
       ReadReports();
       Plan();
     }
@@ -137,12 +112,6 @@
   int loads() const { return loads_; }
 
  private:
-  struct Response {
-    TimePoint at;
-    Order order;
-    OrderOutcome outcome;
-  };
-
   OrderTracker& Leader() { return trackers_[leader_]; }
 
   void CrashOrRestart(const ServerId& id, Engine& engine) {
@@ -170,33 +139,7 @@
     }
     const Order order = Leader().Begin(now_, id, move.action, move.target);
     loads_ += move.action == OrderAction::kLoad ? 1 : 0;
-    if (random_.Unit() < kLostOrderFraction) {
-      const auto late = kMaxLateness.count() - 2'000;
-      const milliseconds delay(2'000 + static_cast<std::int64_t>(random_.Below(
-                                           static_cast<std::uint64_t>(late))));
-      engines_[id].late_orders.emplace_back(now_ + delay, order);
-      responses_.push_back(
-          {now_ + kResponseTimeout, order, OrderOutcome::kUnknown});
-      return;
-    }
-    const bool accepted = engines_[id].Accept(now_, order);
-    responses_.push_back(
-        {now_ + kResponseTime, order,
-         accepted ? OrderOutcome::kAccepted : OrderOutcome::kConflict});
-  }
-
-  void DeliverResponses() {
-    for (const Response& response : responses_) {
-      if (now_ >= response.at) {
-        const bool loads = response.order.action == OrderAction::kLoad;
-        Leader().OnOutcome(
-            now_, response.order, response.outcome,
-            loads ? Duration(kLoadTime) : Duration(kResponseTime));
-      }
-    }
-    std::erase_if(responses_, [&](const Response& response) {
-      return now_ >= response.at;
-    });
+    orders_.Send(now_, order, random_, engines_[id]);
   }
 
   void ReadReports() {
@@ -242,7 +185,7 @@
   std::array<OrderTracker, 2> trackers_;
   std::size_t leader_ = 0;
   TimePoint leads_since_;
-  std::vector<Response> responses_;
+  PlayedOrders orders_{kLoadTime};
   int loads_ = 0;
 };
 
