--- a/libs/serving/tests/played_orders.h
+++ b/libs/serving/tests/played_orders.h
@@ -90,9 +90,8 @@
                           loads ? load_time_ : Duration(kResponseTime));
       }
     }
-    std::erase_if(responses_, [&](const Response& response) {
-      return now >= response.at;
-    });
+    std::erase_if(responses_,
+                  [&](const Response& response) { return now >= response.at; });
   }
   /** The process that sent the orders no longer receives responses. */
   void DropResponses() { responses_.clear(); }
