Use the changes of earlier builds until a restore is seen

Change: their revisions are taken as of the current era, in statuses, requests and answers, until the instance has itself seen a restore (StoreClient::restored). Requests and answers choose their form in PeerGroup::SendRevisions like statuses. A read that fails while the follower knows of no outage is logged. Edge tests pass. An instance that starts after a restore may take over what an earlier build that missed it has.

--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -222,15 +222,13 @@
   if (peers_.UnderstandsEras(from)) {
     return;  // it states them with their eras as well
   }
-  // An earlier build may have revisions from before a restore, so its changes
-  // are used only where the store has no eras.
+  // After a restore, an earlier build may have revisions from before it.
   const store::Era era = store_.era();
-  servers_view_.OnPeerRevision(now, from,
-                               store::WithEra(era, status.servers_revision),
-                               /*may_request=*/era == 0);
-  instances_view_.OnPeerRevision(now, from,
-                                 store::WithEra(era, status.instances_revision),
-                                 /*may_request=*/era == 0);
+  const bool may_request = !store_.restored();
+  servers_view_.OnPeerRevision(
+      now, from, store::WithEra(era, status.servers_revision), may_request);
+  instances_view_.OnPeerRevision(
+      now, from, store::WithEra(era, status.instances_revision), may_request);
 }
 
 void Edge::UpdateFollowing(TimePoint now) {
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -109,32 +109,29 @@
 
 void Edge::RequestChanges(const InstanceId& peer, ViewId view,
                           store::Revision after) {
-  const MessageKind kind = MessageKind::kChangesRequest;
-  peers_.Send(peer, peers_.UnderstandsEras(peer) ? WithEras(kind) : kind,
-              ChangesRequestMessage{view, after});
+  peers_.SendRevisions({peer}, MessageKind::kChangesRequest,
+                       ChangesRequestMessage{view, after});
 }
 
 void Edge::OnChangesRequest(const InstanceId& from, MessageKind kind,
                             const ChangesRequestMessage& request) {
-  const bool eras = HasEras(kind);
   // A build without eras has what it has in the current era, as far as it
   // knows.
   const store::Revision after =
-      eras ? request.after : store::WithEra(store_.era(), request.after);
+      HasEras(kind) ? request.after
+                    : store::WithEra(store_.era(), request.after);
   for (serving::ChangeSet& set :
        ViewOf(request.view).ChangesSince(MonotonicNow(), after)) {
-    ChangesMessage message{request.view, std::move(set)};
-    if (eras) {
-      peers_.Send(from, WithEras(MessageKind::kChanges), message);
-    } else {
-      peers_.Send(from, MessageKind::kChanges, WithoutEras(std::move(message)));
-    }
+    peers_.SendRevisions({from}, MessageKind::kChanges,
+                         ChangesMessage{request.view, std::move(set)});
   }
 }
 
 void Edge::OnChanges(MessageKind kind, const ChangesMessage& message) {
-  if (HasEras(kind) || store_.era() == 0) {
+  if (HasEras(kind)) {
     ViewOf(message.view).OnChanges(message.changes);
+  } else if (!store_.restored()) {
+    ViewOf(message.view).OnChanges(WithEra(store_.era(), message).changes);
   }
 }
 
--- a/apps/edge/messages.cc
+++ b/apps/edge/messages.cc
@@ -64,6 +64,21 @@
   return message;
 }
 
+ChangesRequestMessage WithoutEras(ChangesRequestMessage message) {
+  message.after = store::WithoutEra(message.after);
+  return message;
+}
+
+ChangesMessage WithEra(store::Era era, ChangesMessage message) {
+  serving::ChangeSet& changes = message.changes;
+  changes.after = store::WithEra(era, changes.after);
+  changes.up_to = store::WithEra(era, changes.up_to);
+  for (serving::LoggedEntry& entry : changes.entries) {
+    entry.revision = store::WithEra(era, entry.revision);
+  }
+  return message;
+}
+
 std::string PackServer(const serving::BackendServer& server) {
   ServerRecord record;
   record.id = server.id;
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -178,6 +178,9 @@
 StatusMessage WithoutEras(StatusMessage message);
 DomainStatusMessage WithoutEras(DomainStatusMessage message);
 ChangesMessage WithoutEras(ChangesMessage message);
+ChangesRequestMessage WithoutEras(ChangesRequestMessage message);
+/** The message of a build without eras, as of this era. */
+ChangesMessage WithEra(store::Era era, ChangesMessage message);
 
 /** Serializes a backend server for messages between instances. */
 std::string PackServer(const serving::BackendServer& server);
--- a/apps/edge/shared_view.cc
+++ b/apps/edge/shared_view.cc
@@ -91,6 +91,11 @@
                    for (const store::WatchEvent& event : batch->events) {
                      OnEvent(event);
                    }
+                 } else if (follower_.answering()) {
+                   // The follower logs an outage that it knows of.
+                   telemetry::Log(Event::kDependencyLost, batch.error().message,
+                                  {{"dependency", "store"},
+                                   {"prefix", follower_.prefix()}});
                  }
                  on_done(batch.has_value());
                });
