--- a/libs/serving/tests/team_rate_limiter_fleet_test.cc
+++ b/libs/serving/tests/team_rate_limiter_fleet_test.cc
@@ -85,7 +85,7 @@
   /** Cuts off a share of the instances, each from all others. */
   void CutOff(double share) {
     for (Instance& instance : instances_) {
-      instance.cut_off = random_.Below(100) < 100 * share;
+      instance.cut_off = random_.Unit() < share;
     }
   }
   void HealCuts() {
