Read revisions and count reporting instances in one place each

Messages with and without eras had a branch each in three functions and two loops over the entries of a message; a charge looked up the source of each peer twice, once to withhold and once for the share; marks of leaving servers expired only when another server announced that it leaves, so those recorded with an entry's removal could add up. Change: Edge::RevisionIn and CanUseChanges, one conversion of revisions in messages.cc; the share follows from the instances that each peer covers; Directory::AddLeavingMark forgets expired marks on every path.

--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -54,6 +54,16 @@
   void OnChangesRequest(const InstanceId& from, MessageKind kind,
                         const ChangesRequestMessage& request);
   void OnChanges(MessageKind kind, const ChangesMessage& message);
+  /**
+   * A revision in a message of that kind. A build without eras has what it has
+   * in the current era, as far as it knows.
+   */
+  store::Revision RevisionIn(MessageKind kind, store::Revision stated) const;
+  /**
+   * Whether changes from the sender of such a message can be used: after a
+   * restore, a build without eras may have revisions from before it.
+   */
+  bool CanUseChanges(MessageKind kind) const;
   /**
    * Reads the newest entries of servers from the store. If it does not answer
    * in time, it has to do that a peer which follows the store has none that are
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -215,20 +215,14 @@
   if (HasEras(kind)) {
     store_.OnEraKnown(std::max(store::EraOf(status.servers_revision),
                                store::EraOf(status.instances_revision)));
-    servers_view_.OnPeerRevision(now, from, status.servers_revision);
-    instances_view_.OnPeerRevision(now, from, status.instances_revision);
-    return;
-  }
-  if (peers_.UnderstandsEras(from)) {
+  } else if (peers_.UnderstandsEras(from)) {
     return;  // it states them with their eras as well
   }
-  // After a restore, an earlier build may have revisions from before it.
-  const store::Era era = store_.era();
-  const bool may_request = !store_.restored();
+  const bool may_request = CanUseChanges(kind);
   servers_view_.OnPeerRevision(
-      now, from, store::WithEra(era, status.servers_revision), may_request);
+      now, from, RevisionIn(kind, status.servers_revision), may_request);
   instances_view_.OnPeerRevision(
-      now, from, store::WithEra(era, status.instances_revision), may_request);
+      now, from, RevisionIn(kind, status.instances_revision), may_request);
 }
 
 void Edge::UpdateFollowing(TimePoint now) {
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -115,24 +115,30 @@
 
 void Edge::OnChangesRequest(const InstanceId& from, MessageKind kind,
                             const ChangesRequestMessage& request) {
-  // A build without eras has what it has in the current era, as far as it
-  // knows.
-  const store::Revision after =
-      HasEras(kind) ? request.after
-                    : store::WithEra(store_.era(), request.after);
   for (serving::ChangeSet& set :
-       ViewOf(request.view).ChangesSince(MonotonicNow(), after)) {
+       ViewOf(request.view)
+           .ChangesSince(MonotonicNow(), RevisionIn(kind, request.after))) {
     peers_.SendRevisions({from}, MessageKind::kChanges,
                          ChangesMessage{request.view, std::move(set)});
   }
 }
 
 void Edge::OnChanges(MessageKind kind, const ChangesMessage& message) {
-  if (HasEras(kind)) {
-    ViewOf(message.view).OnChanges(message.changes);
-  } else if (!store_.restored()) {
-    ViewOf(message.view).OnChanges(WithEra(store_.era(), message).changes);
+  if (!CanUseChanges(kind)) {
+    return;
   }
+  ViewOf(message.view)
+      .OnChanges(HasEras(kind) ? message.changes
+                               : WithEra(store_.era(), message).changes);
+}
+
+store::Revision Edge::RevisionIn(MessageKind kind,
+                                 store::Revision stated) const {
+  return HasEras(kind) ? stated : store::WithEra(store_.era(), stated);
+}
+
+bool Edge::CanUseChanges(MessageKind kind) const {
+  return HasEras(kind) || !store_.restored();
 }
 
 void Edge::CatchUpWithServers(std::function<void(bool)> on_done) {
--- a/apps/edge/messages.cc
+++ b/apps/edge/messages.cc
@@ -41,6 +41,19 @@
   }
 };
 
+// The message with each of its revisions converted.
+template <typename Convert>
+ChangesMessage ConvertRevisions(ChangesMessage message,
+                                const Convert& convert) {
+  serving::ChangeSet& changes = message.changes;
+  changes.after = convert(changes.after);
+  changes.up_to = convert(changes.up_to);
+  for (serving::LoggedEntry& entry : changes.entries) {
+    entry.revision = convert(entry.revision);
+  }
+  return message;
+}
+
 }  // namespace
 
 StatusMessage WithoutEras(StatusMessage message) {
@@ -55,13 +68,7 @@
 }
 
 ChangesMessage WithoutEras(ChangesMessage message) {
-  serving::ChangeSet& changes = message.changes;
-  changes.after = store::WithoutEra(changes.after);
-  changes.up_to = store::WithoutEra(changes.up_to);
-  for (serving::LoggedEntry& entry : changes.entries) {
-    entry.revision = store::WithoutEra(entry.revision);
-  }
-  return message;
+  return ConvertRevisions(std::move(message), store::WithoutEra);
 }
 
 ChangesRequestMessage WithoutEras(ChangesRequestMessage message) {
@@ -70,13 +77,9 @@
 }
 
 ChangesMessage WithEra(store::Era era, ChangesMessage message) {
-  serving::ChangeSet& changes = message.changes;
-  changes.after = store::WithEra(era, changes.after);
-  changes.up_to = store::WithEra(era, changes.up_to);
-  for (serving::LoggedEntry& entry : changes.entries) {
-    entry.revision = store::WithEra(era, entry.revision);
-  }
-  return message;
+  return ConvertRevisions(std::move(message), [era](store::Revision stated) {
+    return store::WithEra(era, stated);
+  });
 }
 
 std::string PackServer(const serving::BackendServer& server) {
--- a/libs/serving/include/figwell/serving/directory.h
+++ b/libs/serving/include/figwell/serving/directory.h
@@ -183,6 +183,9 @@
     TimePoint accepted_at;
   };
 
+  /** Also forgets the marks that have expired. */
+  void AddLeavingMark(TimePoint now, const ServerId& id,
+                      std::int64_t started_ms);
   /** Remembers that the entry is gone. */
   void RecordDeparture(TimePoint now, const Entry& entry);
   /** Whether an older copy of the store brought the entry back. */
--- a/libs/serving/include/figwell/serving/team_rate_limiter.h
+++ b/libs/serving/include/figwell/serving/team_rate_limiter.h
@@ -190,7 +190,7 @@
   double LevelChange(TimePoint now, Peer& peer, const TeamSpending& update,
                      Tokens increase, Bucket& bucket) const;
   /** The share of the limits that belongs to the reporting instances. */
-  double ReportingShare(TimePoint now) const;
+  double ReportingShare() const;
   int Instances() const;
 
   std::map<TeamId, Bucket> buckets_;
--- a/libs/serving/src/directory.cc
+++ b/libs/serving/src/directory.cc
@@ -41,10 +41,18 @@
   });
   departures_[server.id] = {server.started_ms, entry.removed_in, now};
   if (server.draining) {
-    leaving_marks_[server.id] = {server.started_ms, now};
+    AddLeavingMark(now, server.id, server.started_ms);
   }
 }
 
+void Directory::AddLeavingMark(TimePoint now, const ServerId& id,
+                               std::int64_t started_ms) {
+  std::erase_if(leaving_marks_, [&](const auto& item) {
+    return now - item.second.marked_at >= kLeavingMarkLifetime;
+  });
+  leaving_marks_[id] = {started_ms, now};
+}
+
 std::vector<ServerId> Directory::AcceptRestored(TimePoint now) {
   std::vector<ServerId> accepted;
   for (const auto& [id, entry] : restored_) {
@@ -103,15 +111,12 @@
 
 ServerChange Directory::MarkLeaving(TimePoint now, const ServerId& id,
                                     std::int64_t started_ms) {
-  std::erase_if(leaving_marks_, [&](const auto& item) {
-    return now - item.second.marked_at >= kLeavingMarkLifetime;
-  });
   const auto found = entries_.find(id);
   if (found != entries_.end() &&
       found->second.server.started_ms != started_ms) {
     return ServerChange::kUnchanged;  // the server has restarted since
   }
-  leaving_marks_[id] = {started_ms, now};
+  AddLeavingMark(now, id, started_ms);
   if (found == entries_.end() || found->second.server.draining) {
     return ServerChange::kUnchanged;
   }
--- a/libs/serving/src/team_rate_limiter.cc
+++ b/libs/serving/src/team_rate_limiter.cc
@@ -72,10 +72,10 @@
   return source == nullptr ? 0 : std::min(source->instances, peer.instances);
 }
 
-double TeamRateLimiter::ReportingShare(TimePoint now) const {
+double TeamRateLimiter::ReportingShare() const {
   int reporting = 1;
   for (const auto& [id, peer] : peers_) {
-    reporting += CoveredInstances(peer, now);
+    reporting += peer.covered;
   }
   return static_cast<double>(reporting) / Instances();
 }
@@ -113,8 +113,8 @@
         included = covered;
       }
     }
-    share_ -= static_cast<double>(peer.covered - covered) / Instances();
     peer.covered = covered;
+    share_ = ReportingShare();
   }
 }
 
@@ -160,7 +160,7 @@
 void TeamRateLimiter::Refill(TimePoint now) {
   if (!last_refill_) {
     last_refill_ = now;
-    share_ = ReportingShare(now);
+    share_ = ReportingShare();
     return;
   }
   if (now <= *last_refill_) {
@@ -170,20 +170,17 @@
   const Duration elapsed = now - last_refill;
   last_refill_ = now;
   WithholdSilent(now, last_refill);
-  const double share = ReportingShare(now);
-  const double refilled_share = std::min(share_, share);
   const bool suspended = elapsed > kMaxRefillGap;
-  SetShare(share);
   for (auto& [team, bucket] : buckets_) {
-    const double cap = static_cast<double>(bucket.burst) * share;
+    const double cap = static_cast<double>(bucket.burst) * share_;
     if (suspended) {
       // Peers may have charged what was refilled in the meantime.
-      bucket.level = std::min(bucket.level, cap * refilled_share);
+      bucket.level = std::min(bucket.level, cap * share_);
       continue;
     }
     bucket.level =
-        std::min(cap, bucket.level + static_cast<double>(bucket.rate) *
-                                         refilled_share * Seconds(elapsed));
+        std::min(cap, bucket.level + static_cast<double>(bucket.rate) * share_ *
+                                         Seconds(elapsed));
   }
 }
 
@@ -220,15 +217,16 @@
   std::erase_if(peers_,
                 [&](const auto& item) { return !peers.contains(item.first); });
   for (const auto& [id, instances] : peers) {
-    peers_[id].instances = instances;
+    Peer& peer = peers_[id];
+    peer.instances = instances;
+    peer.covered = CoveredInstances(peer, now);
   }
-  SetShare(ReportingShare(now));
+  SetShare(ReportingShare());
 }
 
 void TeamRateLimiter::SetPeerInstances(TimePoint now, Peer& peer,
                                        int instances) {
   peer.instances = instances;
-  peer.covered = std::min(peer.covered, instances);
   for (auto& [team, bucket] : buckets_) {
     int& included = peer.included_instances[bucket.hash];
     included = std::min(included, instances);
@@ -278,7 +276,7 @@
     }
   }
   peer.covered = CoveredInstances(peer, now);
-  SetShare(ReportingShare(now));
+  SetShare(ReportingShare());
 }
 
 double TeamRateLimiter::LevelChange(TimePoint now, Peer& peer,
