Execute played orders with one piece of code in two tests

Cause: the simulated servers of restarted_server_test.cc and late_orders_test.cc accepted and ended orders with the same code. Change: OrderExecution in played_orders.h.

--- a/libs/serving/tests/late_orders_test.cc
+++ b/libs/serving/tests/late_orders_test.cc
@@ -44,34 +44,25 @@
 /** A server that executes one order at a time. */
 struct Engine {
   std::optional<ModelId> held_model;
-  std::optional<Order> order;
-  TimePoint order_end;
-  std::int64_t accepted = 0;
+  OrderExecution execution{kLoadTime};
   std::vector<LateOrder> late_orders;
   /** The model in its registry entry, and the updates on their way to it. */
   std::optional<ModelId> registered;
   std::vector<std::pair<TimePoint, std::optional<ModelId>>> heartbeats;
 
-  bool Accept(TimePoint now, const Order& new_order) {
-    if (order || new_order.expected != accepted) {
+  bool Accept(TimePoint now, const Order& order) {
+    if (!execution.Begin(now, order)) {
       return false;
     }
-    ++accepted;
-    order = new_order;
-    const bool loads = new_order.action == OrderAction::kLoad;
-    order_end = now + (loads ? kLoadTime : kResponseTime);
-    if (!loads) {
+    if (order.action != OrderAction::kLoad) {
       held_model.reset();
     }
     return true;
   }
 
   void Advance(TimePoint now) {
-    if (order && now >= order_end) {
-      if (order->action == OrderAction::kLoad) {
-        held_model = order->target.model;
-      }
-      order.reset();
+    if (const auto loaded = execution.End(now)) {
+      held_model = *loaded;
     }
     ExecuteLateOrders(now, *this);
   }
@@ -148,8 +139,8 @@
       if (engine.held_model) {
         report.models[*engine.held_model] = {};
       }
-      report.accepted = engine.accepted;
-      report.busy = engine.order.has_value();
+      report.accepted = engine.execution.accepted();
+      report.busy = engine.execution.busy();
       if (const auto held = tracker_.OnReport(now_, id, report)) {
         balancer_.OnPlacementAnnounced(now_, id, *held, true);
       }
--- a/libs/serving/tests/played_orders.h
+++ b/libs/serving/tests/played_orders.h
@@ -8,7 +8,9 @@
  */
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "figwell/core.h"
@@ -50,6 +52,43 @@
   Order order;
 };
 
+/** How a simulated server executes orders: one at a time. */
+class OrderExecution {
+ public:
+  explicit OrderExecution(Duration load_time) : load_time_(load_time) {}
+
+  /** @return whether the order was accepted */
+  bool Begin(TimePoint now, const Order& order) {
+    if (order_ || order.expected != accepted_) {
+      return false;
+    }
+    ++accepted_;
+    order_ = order;
+    const bool loads = order.action == OrderAction::kLoad;
+    end_ = now + (loads ? load_time_ : Duration(kResponseTime));
+    return true;
+  }
+  /** Ends an order that is due. @return the model that it loaded, if any */
+  std::optional<ModelId> End(TimePoint now) {
+    if (!order_ || now < end_) {
+      return std::nullopt;
+    }
+    const Order order = *std::exchange(order_, std::nullopt);
+    return order.action == OrderAction::kLoad
+               ? std::optional(order.target.model)
+               : std::nullopt;
+  }
+
+  bool busy() const { return order_.has_value(); }
+  std::int64_t accepted() const { return accepted_; }
+
+ private:
+  Duration load_time_;
+  std::optional<Order> order_;
+  TimePoint end_;
+  std::int64_t accepted_ = 0;
+};
+
 template <typename Engine>
 void ExecuteLateOrders(TimePoint now, Engine& engine) {
   for (const LateOrder& late_order : engine.late_orders) {
--- a/libs/serving/tests/restarted_server_test.cc
+++ b/libs/serving/tests/restarted_server_test.cc
@@ -30,25 +30,19 @@
 /** A server that executes one order at a time. */
 struct Engine {
   HeldModels models;
-  std::optional<Order> order;
-  TimePoint order_end;
-  std::int64_t accepted = 0;
+  OrderExecution execution{kLoadTime};
   std::vector<LateOrder> late_orders;
   std::optional<TimePoint> down_until;
   bool overfilled = false;
 
-  bool Accept(TimePoint now, const Order& new_order) {
-    if (down_until || order || new_order.expected != accepted) {
+  bool Accept(TimePoint now, const Order& order) {
+    if (down_until || !execution.Begin(now, order)) {
       return false;
     }
-    ++accepted;
-    order = new_order;
-    const bool loads = new_order.action == OrderAction::kLoad;
-    order_end = now + (loads ? kLoadTime : kResponseTime);
-    if (!loads) {
-      models.erase(new_order.target.model);
+    if (order.action != OrderAction::kLoad) {
+      models.erase(order.target.model);
     } else {
-      overfilled = overfilled || (!models.contains(new_order.target.model) &&
+      overfilled = overfilled || (!models.contains(order.target.model) &&
                                   std::ssize(models) == kSlots);
     }
     return true;
@@ -56,17 +50,13 @@
 
   void Crash(TimePoint now, Duration down) {
     models.clear();
-    order.reset();
-    accepted = 0;
+    execution = OrderExecution(kLoadTime);
     down_until = now + down;
   }
 
   void Advance(TimePoint now) {
-    if (order && now >= order_end) {
-      if (order->action == OrderAction::kLoad) {
-        models[order->target.model] = {};
-      }
-      order.reset();
+    if (const auto loaded = execution.End(now)) {
+      models[*loaded] = {};
     }
     ExecuteLateOrders(now, *this);
   }
@@ -153,8 +143,8 @@
       for (int i = 0; i < kModels; ++i) {
         report.local_weights.insert(Model(i));
       }
-      report.accepted = engine.accepted;
-      report.busy = engine.order.has_value();
+      report.accepted = engine.execution.accepted();
+      report.busy = engine.execution.busy();
       Leader().OnReport(now_, id, report);
     }
   }
