Set up a rate limiter with one peer once for two tests

Cause: two tests of partitions set up the same limiter, peer and reports; one named a time-out that has changed. Change: RateLimiterWithPeer. All checks are kept.

--- a/libs/serving/tests/team_rate_limiter_test.cc
+++ b/libs/serving/tests/team_rate_limiter_test.cc
@@ -301,41 +301,58 @@
   CHECK(late_refusal == refused.end());
 }
 
-TEST_CASE("when a partition heals, the levels of both sides are added") {
-  TeamRateLimiter rate_limiter;
-  const InstanceId peer("peer");
-  const std::uint64_t team = StableHash(kTeam.value());
-  rate_limiter.SetPeers(At(0), {{peer, 1}});
-  rate_limiter.Configure(At(0), Teams(1'000, 10'000));
-  rate_limiter.OnPeerReport(At(0), peer, {1, 1, {{team, 0, 2'500}}});
-  CHECK(rate_limiter.TakeOwnReport(At(0)).front().level == 2'500);
-  // No further reports: from 700 ms on, each side refills only its own share.
-  for (std::int64_t ms = 100; ms <= 2'000; ms += 100) {
-    (void)rate_limiter.TakeOwnReport(At(ms));
+// One of two instances; `peer_level` is what the peer reports at first.
+class RateLimiterWithPeer {
+ public:
+  RateLimiterWithPeer(Tokens burst, Tokens peer_level) {
+    rate_limiter_.SetPeers(At(0), {{kPeer, 1}});
+    rate_limiter_.Configure(At(0), Teams(1'000, burst));
+    OnPeerReport(0, 0, peer_level);
+  }
+
+  void OnPeerReport(std::int64_t ms, Tokens spent, Tokens level) {
+    rate_limiter_.OnPeerReport(
+        At(ms), kPeer, {1, 1, {{StableHash(kTeam.value()), spent, level}}});
+  }
+  // Without reports, from kPeerReportTimeout on each side refills only its own
+  // share.
+  void PassWithoutReports(std::int64_t until_ms) {
+    for (std::int64_t ms = 100; ms <= until_ms; ms += 100) {
+      (void)rate_limiter_.TakeOwnReport(At(ms));
+    }
+  }
+  bool Charge(std::int64_t ms, Tokens cost) {
+    return rate_limiter_.Charge(At(ms), kTeam, cost).admitted;
+  }
+  Tokens Level(std::int64_t ms) {
+    return rate_limiter_.TakeOwnReport(At(ms)).front().level;
   }
-  REQUIRE(rate_limiter.Charge(At(2'000), kTeam, 1'250).admitted);
-  const Tokens before = rate_limiter.TakeOwnReport(At(2'000)).front().level;
+
+ private:
+  inline static const InstanceId kPeer{"peer"};
+
+  TeamRateLimiter rate_limiter_;
+};
+
+TEST_CASE("when a partition heals, the levels of both sides are added") {
+  RateLimiterWithPeer rate_limiter(/*burst=*/10'000, /*peer_level=*/2'500);
+  CHECK(rate_limiter.Level(0) == 2'500);
+  rate_limiter.PassWithoutReports(2'000);
+  REQUIRE(rate_limiter.Charge(2'000, 1'250));
+  const Tokens before = rate_limiter.Level(2'000);
   CHECK(before < 2'100);
   // The other side has spent nothing.
-  rate_limiter.OnPeerReport(At(2'000), peer, {1, 1, {{team, 0, 4'500}}});
-  const Tokens healed = rate_limiter.TakeOwnReport(At(2'000)).front().level;
-  CHECK(healed == (before + 4'500) / 2);
+  rate_limiter.OnPeerReport(2'000, 0, 4'500);
+  CHECK(rate_limiter.Level(2'000) == (before + 4'500) / 2);
 }
 
 TEST_CASE("what a peer spends of its share in a long partition is its own") {
-  TeamRateLimiter rate_limiter;
-  const InstanceId peer("peer");
-  const std::uint64_t team = StableHash(kTeam.value());
-  rate_limiter.SetPeers(At(0), {{peer, 1}});
-  rate_limiter.Configure(At(0), Teams(1'000, 1'000));
-  rate_limiter.OnPeerReport(At(0), peer, {1, 1, {{team, 0, 1'000}}});
-  for (std::int64_t ms = 100; ms <= 60'000; ms += 100) {
-    (void)rate_limiter.TakeOwnReport(At(ms));
-  }
-  CHECK(rate_limiter.TakeOwnReport(At(60'000)).front().level == 1'000);
+  RateLimiterWithPeer rate_limiter(/*burst=*/1'000, /*peer_level=*/1'000);
+  rate_limiter.PassWithoutReports(60'000);
+  CHECK(rate_limiter.Level(60'000) == 1'000);
   // It has a tenth of its level left.
-  rate_limiter.OnPeerReport(At(60'000), peer, {1, 1, {{team, 30'000, 100}}});
-  const Tokens level = rate_limiter.TakeOwnReport(At(60'000)).front().level;
+  rate_limiter.OnPeerReport(60'000, 30'000, 100);
+  const Tokens level = rate_limiter.Level(60'000);
   CHECK(level >= 500);
   CHECK(level <= 550);
 }
