--- a/libs/serving/tests/played_leases.h
+++ b/libs/serving/tests/played_leases.h
@@ -237,7 +237,8 @@
     store::LeaseId lease = 0;
     if (!disconnected_[i]) {
       lease = ++store_.last_lease;
-      store_.leases[lease] = {i, now_ + call.ttl / std::chrono::milliseconds(1)};
+      store_.leases[lease] = {i,
+                              now_ + call.ttl / std::chrono::milliseconds(1)};
       lease = store::WithEra(store_.era, lease);
     }
     const bool lost = IsResponseLost(i);
