Send nothing to the servers of an evacuated failure domain

What callers saw: nothing wrong, but the operator's request that a domain's servers get nothing had no effect.

Cause: keys below op/evacuate/ were read by the watch of the operator's keys and ignored.

Change: every instance keeps which domains are evacuated, by the revision of the newest record. Choice of servers, retries, permits, adapter waits, reports, orders and placement leave these domains out; models that only they hold are loaded elsewhere. A service without another server refuses with the reason 'evacuated'.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -146,14 +146,10 @@
           context_, store_, std::string(adapter::kConfigurationPrefix),
           MaxWatchWait(state_.settings),
           {[this](const adapter::Listing& listing) {
-             for (const store::KeyValue& item : listing.items) {
-               OnConfigurationItem(item);
-             }
+             OnConfigurationListing(listing);
            },
            [this](const store::WatchEvent& event) {
-             if (event.type == store::WatchEvent::Type::kPut) {
-               OnConfigurationItem(event.entry);
-             }
+             OnConfigurationEvent(event);
            },
            [this] { peers_.OnStoreResult(false); },
            [this](Duration) { peers_.OnStoreResult(true); }}),
@@ -297,6 +293,8 @@
       .Set(static_cast<std::int64_t>(state_.directory.entries().size()));
   state_.metrics.GetGauge("figwell_servers_limited")
       .Set(static_cast<std::int64_t>(state_.balancer.limits().size()));
+  state_.metrics.GetGauge("figwell_domains_evacuated")
+      .Set(static_cast<std::int64_t>(state_.directory.evacuated().size()));
   state_.metrics.GetGauge("figwell_prompts_quarantined")
       .Set(static_cast<std::int64_t>(state_.quarantine.size()));
   state_.metrics.GetGauge("figwell_peers_heard")
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -45,6 +45,15 @@
 
   // edge_view.cc
   void OnConfigurationItem(const store::KeyValue& item);
+  /** All of the operator's keys, as of a revision. */
+  void OnConfigurationListing(const adapter::Listing& listing);
+  void OnConfigurationEvent(const store::WatchEvent& event);
+  /** Applies what changed in `state_.evacuations`. */
+  void ApplyEvacuations(std::string_view source);
+  void OnEvacuationsMessage(const InstanceId& from,
+                            const EvacuationsMessage& message);
+  /** Sends the evacuations to the peers if this is the domain's delegate. */
+  void AnnounceEvacuations(TimePoint now);
   void ApplyConfiguration(const std::string& document, std::string_view source);
   SharedViewCallbacks ServersCallbacks();
   SharedViewCallbacks InstancesCallbacks();
@@ -172,6 +181,7 @@
   /** When a status of a peer that follows the store last arrived. */
   TimePoint follower_heard_;
   TimePoint last_build_announced_;
+  TimePoint last_evacuations_announced_;
   bool accepting_ = true;
 };
 
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -116,6 +116,11 @@
         versions_.OnMessage(from, *began);
       }
       return;
+    case MessageKind::kEvacuations:
+      if (const auto message = peers::Unpack<EvacuationsMessage>(bytes)) {
+        OnEvacuationsMessage(from, *message);
+      }
+      return;
     case MessageKind::kBuild:
       return;  // its arrival says it all; see PeerGroup
     case MessageKind::kAdapterRequest:
@@ -288,6 +293,9 @@
   for (const ServerId& accepted : state_.directory.AcceptRestored(now)) {
     OnServerChange(accepted, serving::ServerChange::kAppeared);
   }
+  state_.evacuations.Tick(now);
+  ApplyEvacuations("restore");
+  AnnounceEvacuations(now);
   if (instances_view_.listed()) {
     UpdateFleetSize(now);
     UpdateFollowing(now);
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <iterator>
+
 #include "edge.h"
 #include "log_text.h"
 #include "run_after.h"
@@ -10,6 +13,9 @@
 // A caller waits for this at most until its stream is taken up.
 constexpr Duration kCatchUpTimeout = std::chrono::milliseconds(300);
 constexpr Duration kCatchUpRetryInterval = std::chrono::milliseconds(30);
+// How often a delegate tells its peers of evacuations: instances that have
+// started while the store does not answer know none.
+constexpr Duration kEvacuationsInterval = std::chrono::milliseconds(1'000);
 
 // Decodes a registry entry; logs one that is invalid and returns nullopt.
 std::optional<serving::BackendServer> ReadServer(const store::KeyValue& item) {
@@ -59,6 +65,98 @@
   peers_.SetConfiguration(number, document);
 }
 
+void Edge::OnConfigurationListing(const adapter::Listing& listing) {
+  std::vector<serving::EvacuationRecord> evacuations;
+  for (const store::KeyValue& item : listing.items) {
+    OnConfigurationItem(item);
+    if (DomainId domain = adapter::EvacuatedDomainFromKey(item.key);
+        !domain.empty()) {
+      evacuations.push_back({std::move(domain), item.mod_revision, true});
+    }
+  }
+  state_.evacuations.OnListing(MonotonicNow(), evacuations, listing.revision);
+  ApplyEvacuations("store");
+}
+
+void Edge::OnConfigurationEvent(const store::WatchEvent& event) {
+  const bool written = event.type == store::WatchEvent::Type::kPut;
+  if (written) {
+    OnConfigurationItem(event.entry);
+  }
+  if (DomainId domain = adapter::EvacuatedDomainFromKey(event.entry.key);
+      !domain.empty()) {
+    state_.evacuations.OnRecord(
+        MonotonicNow(), {std::move(domain), event.entry.mod_revision, written});
+    ApplyEvacuations("store");
+  }
+}
+
+// -------------------------------------------------------------- evacuations
+
+void Edge::ApplyEvacuations(std::string_view source) {
+  const std::set<DomainId> former = state_.directory.evacuated();
+  const std::set<DomainId> current = state_.evacuations.Domains();
+  if (former == current) {
+    return;
+  }
+  state_.directory.SetEvacuated(current);
+  std::set<DomainId> changed;
+  std::set_symmetric_difference(former.begin(), former.end(), current.begin(),
+                                current.end(),
+                                std::inserter(changed, changed.end()));
+  for (const DomainId& domain : changed) {
+    const auto servers = std::count_if(
+        state_.directory.entries().begin(), state_.directory.entries().end(),
+        [&](const auto& item) { return item.second.server.domain == domain; });
+    const bool began = current.contains(domain);
+    state_.metrics
+        .GetCounter("figwell_evacuation_changes_total",
+                    telemetry::Label("change", began ? "began" : "ended"))
+        .Add();
+    telemetry::Log(Event::kEvacuationChanged,
+                   began ? "began: its servers get nothing new" : "ended",
+                   {{"domain", domain.value()},
+                    {"servers", std::to_string(servers)},
+                    {"source", std::string(source)}});
+  }
+  last_evacuations_announced_ = {};  // peers learn of it at the next tick
+}
+
+void Edge::OnEvacuationsMessage(const InstanceId& from,
+                                const EvacuationsMessage& message) {
+  std::vector<serving::EvacuationRecord> records;
+  records.reserve(message.items.size());
+  for (const EvacuationItem& item : message.items) {
+    records.push_back({DomainId(item.domain), item.revision, item.evacuated});
+  }
+  const std::set<DomainId> former = state_.directory.evacuated();
+  state_.evacuations.OnPeerRecords(MonotonicNow(), records);
+  ApplyEvacuations("peer");
+  if (state_.directory.evacuated() != former) {
+    peers_.Announce(MessageKind::kEvacuations, message, from);
+  }
+}
+
+void Edge::AnnounceEvacuations(TimePoint now) {
+  const bool is_delegate =
+      peers_.Delegates().at(state_.settings.failure_domain) ==
+      state_.settings.instance;
+  if (!is_delegate ||
+      now - last_evacuations_announced_ < kEvacuationsInterval) {
+    return;
+  }
+  EvacuationsMessage message;
+  for (const serving::EvacuationRecord& record :
+       state_.evacuations.RecordsForPeers(now)) {
+    message.items.push_back(
+        {record.domain.value(), record.revision, record.evacuated});
+  }
+  if (!message.items.empty()) {
+    last_evacuations_announced_ = now;
+    peers_.Announce(MessageKind::kEvacuations, message, std::nullopt);
+  }
+}
+
 // ------------------------------------------------------------------ servers
 
 SharedViewCallbacks Edge::ServersCallbacks() {
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -30,6 +30,7 @@
   kSuspectAnswered = 15,
   kStreamsBegan = 16,
   kBuild = 17,
+  kEvacuations = 18,
 };
 
 /**
@@ -381,6 +382,36 @@
   }
 };
 
+struct EvacuationItem {
+  std::string domain;
+  store::Revision revision = 0;
+  bool evacuated = false;
+
+  friend bool operator==(const EvacuationItem&,
+                         const EvacuationItem&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(domain, revision, evacuated);
+  }
+};
+
+/**
+ * The evacuations that a domain's delegate knows, for peers that the store does
+ * not answer. Sent and forwarded like ServerLeavingMessage.
+ */
+struct EvacuationsMessage {
+  std::vector<EvacuationItem> items;
+
+  friend bool operator==(const EvacuationsMessage&,
+                         const EvacuationsMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(items);
+  }
+};
+
 /** A request is waiting for an adapter that no server holds. */
 struct AdapterRequestMessage {
   std::string model;
--- a/apps/edge/permit_client.cc
+++ b/apps/edge/permit_client.cc
@@ -119,7 +119,10 @@
 }
 
 bool PermitClient::MayCall(TimePoint now, const ServerId& server) const {
-  if (state_.balancer.IsPaused(now, server)) {
+  const serving::BackendServer* entry = state_.directory.Find(server);
+  const bool evacuated =
+      entry != nullptr && state_.directory.IsEvacuated(entry->domain);
+  if (evacuated || state_.balancer.IsPaused(now, server)) {
     return false;
   }
   const auto limit = state_.balancer.limits().Find(server);
--- a/apps/edge/permit_client.h
+++ b/apps/edge/permit_client.h
@@ -31,8 +31,9 @@
                Callback on_done);
 
   /**
-   * Whether an internal call to the server may be sent now: not during a pause,
-   * and at a limited server such calls use at most half of the limit.
+   * Whether an internal call to the server may be sent now: not during a pause
+   * or an evacuation, and at a limited server such calls use at most half of
+   * the limit.
    */
   bool MayCall(TimePoint now, const ServerId& server) const;
   /** An internal call is sent; it counts against the server's limit. */
--- a/apps/edge/request.h
+++ b/apps/edge/request.h
@@ -101,6 +101,12 @@
    * @return whether it was refused
    */
   bool RefuseIfAllPaused();
+  /**
+   * Refuses the request if it has not run and evacuations leave its service no
+   * server.
+   * @return whether it was refused
+   */
+  bool RefuseIfEvacuated();
   /**
    * Refuses the request if it has not run and no server has the version at
    * which its stream began.
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -194,6 +194,18 @@
   return !needs_.target.adapter.empty() && AnyServerHoldsModel(limited_servers);
 }
 
+bool CallerRequest::RefuseIfEvacuated() {
+  if (may_have_run_ || !state_.directory.IsServiceEvacuated(needs_.service)) {
+    return false;
+  }
+  // When the operator ends it is unknown: as late as the caller accepts.
+  Refuse(
+      serving::RefusalReason::kEvacuated,
+      serving::RetryAfterForLoad(Remaining(), Remaining()),
+      "all servers of " + needs_.service.value() + " are in evacuated domains");
+  return true;
+}
+
 bool CallerRequest::RefuseIfVersionIsGone() {
   if (may_have_run_ || !needs_.version ||
       state_.directory.HasVersion(needs_.service, *needs_.version)) {
@@ -205,7 +217,7 @@
 }
 
 void CallerRequest::RefuseWithoutServer() {
-  if (RefuseIfAllLimited() || RefuseIfVersionIsGone()) {
+  if (RefuseIfAllLimited() || RefuseIfEvacuated() || RefuseIfVersionIsGone()) {
     return;
   }
   if (may_have_run_) {
--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -7,6 +7,7 @@
  *
  *   catalog.h             Catalog: one version of the configuration
  *   directory.h           Directory: the backend servers that registered
+ *   evacuations.h         Evacuations: domains whose servers get nothing
  *   change_log.h          ChangeLog: store changes that instances pass on
  *   follower_selection.h  FollowerSelection: who follows the store itself
  *   affinity.h            PromptIndex: prompt prefixes that a server has cached
@@ -41,6 +42,7 @@
 #include "figwell/serving/demand.h"
 #include "figwell/serving/directory.h"
 #include "figwell/serving/engine_state.h"
+#include "figwell/serving/evacuations.h"
 #include "figwell/serving/follower_selection.h"
 #include "figwell/serving/leadership.h"
 #include "figwell/serving/order_tracker.h"
--- a/libs/serving/include/figwell/serving/admission.h
+++ b/libs/serving/include/figwell/serving/admission.h
@@ -26,6 +26,7 @@
   kLimited,      ///< every server that could take it is at its limit
   kQuarantined,  ///< servers crash on it
   kNoVersion,    ///< no server can continue its stream
+  kEvacuated,    ///< evacuations leave the service no server
   kStopping,     ///< this process may end before the answer does
 };
 
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -251,11 +251,12 @@
   bool Holds(TimePoint now, const BackendServer& server,
              const ModelTarget& target) const;
   /** Whether requests for the target may be sent there, pauses aside. */
-  bool CanServe(TimePoint now, const BackendServer& server,
-                const ServiceId& service, const ModelTarget& target) const;
+  bool CanServe(TimePoint now, const Directory& directory,
+                const BackendServer& server, const ServiceId& service,
+                const ModelTarget& target) const;
   /** The same for a request, whose stream may have begun at some version. */
-  bool CanTake(TimePoint now, const BackendServer& server,
-               const RequestNeeds& needs) const;
+  bool CanTake(TimePoint now, const Directory& directory,
+               const BackendServer& server, const RequestNeeds& needs) const;
   /**
    * Whether the server is paused, or is limited to one request after a pause
    * and has it.
--- a/libs/serving/include/figwell/serving/directory.h
+++ b/libs/serving/include/figwell/serving/directory.h
@@ -151,12 +151,29 @@
    */
   std::vector<ServerId> AcceptRestored(TimePoint now);
 
+  /** Sets the domains whose servers are to get nothing; see Evacuations. */
+  void SetEvacuated(std::set<DomainId> domains) {
+    evacuated_ = std::move(domains);
+  }
+  const std::set<DomainId>& evacuated() const { return evacuated_; }
+  bool IsEvacuated(const DomainId& domain) const {
+    return evacuated_.contains(domain);
+  }
+
   const std::map<ServerId, Entry>& entries() const { return entries_; }
   const BackendServer* Find(const ServerId& id) const;
   /** Whether the entry is that of a server process started at this time. */
   bool IsSameStart(const ServerId& id, std::int64_t started_ms) const;
   /** Whether new requests may be sent to the server. */
   bool IsUsable(const ServerId& id) const;
+  bool IsUsable(const BackendServer& server) const {
+    return !server.draining && !IsEvacuated(server.domain);
+  }
+  /**
+   * Whether evacuations leave the service no usable server, although it would
+   * have one without them.
+   */
+  bool IsServiceEvacuated(const ServiceId& service) const;
   /** Whether a usable server of the service has this version. */
   bool HasVersion(const ServiceId& service, VersionHash version) const;
   /** Whether another usable server of the same service holds the model. */
@@ -196,6 +213,7 @@
   std::map<ServerId, LeavingMark> leaving_marks_;
   std::map<ServerId, Departure> departures_;
   std::map<ServerId, RestoredEntry> restored_;
+  std::set<DomainId> evacuated_;
   bool store_unreachable_ = false;
   std::optional<TimePoint> recovered_at_;
 };
--- a/libs/serving/include/figwell/serving/placement_servers.h
+++ b/libs/serving/include/figwell/serving/placement_servers.h
@@ -12,10 +12,10 @@
 namespace figwell::serving {
 
 /**
- * The usable servers of a service without those that currently limit the rate
- * of requests: a model that only they hold is loaded elsewhere too. If more
- * than half of the servers have a limit, the others could not take over their
- * models, and all usable servers are returned.
+ * The usable servers of a service, which evacuated ones are not, without those
+ * that currently limit the rate of requests: a model that only they hold is
+ * loaded elsewhere too. If more than half of the servers have a limit, the
+ * others could not take over their models, and all usable servers are returned.
  */
 std::vector<const BackendServer*> PlacementServers(TimePoint now,
                                                    const Directory& directory,
--- a/libs/serving/src/admission.cc
+++ b/libs/serving/src/admission.cc
@@ -53,6 +53,8 @@
       return "quarantined";
     case RefusalReason::kNoVersion:
       return "no_version";
+    case RefusalReason::kEvacuated:
+      return "evacuated";
     case RefusalReason::kStopping:
       return "stopping";
   }
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -99,8 +99,8 @@
                      [&](const auto& item) {
                        return (limited_servers == LimitedServers::kInclude ||
                                !limits_.Find(item.first)) &&
-                              CanServe(now, item.second.server, service,
-                                       target);
+                              CanServe(now, directory, item.second.server,
+                                       service, target);
                      });
 }
 
@@ -259,17 +259,18 @@
   return preferred;
 }
 
-bool Balancer::CanServe(TimePoint now, const BackendServer& server,
-                        const ServiceId& service,
+bool Balancer::CanServe(TimePoint now, const Directory& directory,
+                        const BackendServer& server, const ServiceId& service,
                         const ModelTarget& target) const {
-  return server.service == service && !server.draining &&
+  return server.service == service && directory.IsUsable(server) &&
          Holds(now, server, target);
 }
 
-bool Balancer::CanTake(TimePoint now, const BackendServer& server,
+bool Balancer::CanTake(TimePoint now, const Directory& directory,
+                       const BackendServer& server,
                        const RequestNeeds& needs) const {
   return (!needs.version || server.version == *needs.version) &&
-         CanServe(now, server, needs.service, needs.target);
+         CanServe(now, directory, server, needs.service, needs.target);
 }
 
 bool Balancer::IsSkipped(TimePoint now, const ServerId& server) const {
@@ -293,7 +294,7 @@
   for (const auto& [id, entry] : directory.entries()) {
     // Servers in `needs.tried` count too: a caller that retries may be sent to
     // them.
-    if (!CanTake(now, entry.server, needs)) {
+    if (!CanTake(now, directory, entry.server, needs)) {
       continue;
     }
     if (!IsSkipped(now, id)) {
@@ -312,7 +313,7 @@
   for (const auto& [id, entry] : directory.entries()) {
     const BackendServer& server = entry.server;
     if (!needs.tried.contains(id) && !needs.at_limit.contains(id) &&
-        CanTake(now, server, needs) && !IsSkipped(now, id)) {
+        CanTake(now, directory, server, needs) && !IsSkipped(now, id)) {
       candidates.push_back(&server);
     }
   }
--- a/libs/serving/src/directory.cc
+++ b/libs/serving/src/directory.cc
@@ -190,7 +190,21 @@
 
 bool Directory::IsUsable(const ServerId& id) const {
   const BackendServer* server = Find(id);
-  return server != nullptr && !server->draining;
+  return server != nullptr && IsUsable(*server);
+}
+
+bool Directory::IsServiceEvacuated(const ServiceId& service) const {
+  bool any_evacuated = false;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.server.service != service || entry.server.draining) {
+      continue;
+    }
+    if (!IsEvacuated(entry.server.domain)) {
+      return false;
+    }
+    any_evacuated = true;
+  }
+  return any_evacuated;
 }
 
 bool Directory::HasVersion(const ServiceId& service,
@@ -198,7 +212,7 @@
   return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
     const BackendServer& server = item.second.server;
     return server.service == service && server.version == version &&
-           !server.draining;
+           IsUsable(server);
   });
 }
 
@@ -207,7 +221,7 @@
   const BackendServer* server = Find(id);
   return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
     const BackendServer& other = item.second.server;
-    return item.first != id && !other.draining && server != nullptr &&
+    return item.first != id && IsUsable(other) && server != nullptr &&
            other.service == server->service && other.Holds({model, {}});
   });
 }
--- a/libs/serving/src/placement_servers.cc
+++ b/libs/serving/src/placement_servers.cc
@@ -9,7 +9,7 @@
   std::vector<const BackendServer*> usable;
   std::vector<const BackendServer*> without_limit;
   for (const auto& [id, entry] : directory.entries()) {
-    if (entry.server.service != service || entry.server.draining) {
+    if (entry.server.service != service || !directory.IsUsable(entry.server)) {
       continue;
     }
     usable.push_back(&entry.server);
--- a/libs/telemetry/include/figwell/telemetry.h
+++ b/libs/telemetry/include/figwell/telemetry.h
@@ -75,6 +75,7 @@
   kPromptQuarantined = 1612,
   kQuarantineLifted = 1613,
   kVersionAppeared = 1614,
+  kEvacuationChanged = 1615,
   kLeaseAcquired = 1701,
   kLeaseLost = 1702,
   kOrderSent = 1703,
--- a/libs/telemetry/src/event_catalogue.cc
+++ b/libs/telemetry/src/event_catalogue.cc
@@ -52,6 +52,7 @@
     EventInfo{Event::kPromptQuarantined, "prompt_quarantined", Level::kWarning},
     EventInfo{Event::kQuarantineLifted, "quarantine_lifted", Level::kInfo},
     EventInfo{Event::kVersionAppeared, "version_appeared", Level::kInfo},
+    EventInfo{Event::kEvacuationChanged, "evacuation_changed", Level::kWarning},
     EventInfo{Event::kLeaseAcquired, "lease_acquired", Level::kInfo},
     EventInfo{Event::kLeaseLost, "lease_lost", Level::kWarning},
     EventInfo{Event::kOrderSent, "order_sent", Level::kInfo},
--- a/libs/telemetry/src/metric_catalogue.cc
+++ b/libs/telemetry/src/metric_catalogue.cc
@@ -59,6 +59,11 @@
     MetricInfo{"figwell_streams_taken_up_total", "counter",
                "Streams that callers took up, by whether the version that "
                "began them is known"},
+    MetricInfo{"figwell_evacuation_changes_total", "counter",
+               "Evacuations of failure domains that began or ended, by change"},
+    MetricInfo{"figwell_domains_evacuated", "gauge",
+               "Failure domains whose servers get nothing, since the operator "
+               "evacuates them"},
     MetricInfo{"figwell_servers_limited", "gauge",
                "Backend servers that limit the rate of requests"},
     MetricInfo{"figwell_servers_usable", "gauge",
