--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -17,6 +17,7 @@
  *   admission.h           Admit: whether a request can be on time; Retry-After
  *   buffer_budget.h       BufferBudget: memory for answers being relayed
  *   server_limits.h       ServerLimits: request rates that servers accept
+ *   server_paces.h        ServerPaces: how long work takes at each server
  *   team_rate_limiter.h   TeamRateLimiter: rates and bursts of teams
  *   summary.h             DomainSummary: sums of the reports of a domain
  *   request_quarantine.h   RequestQuarantine: requests that crash servers
@@ -53,6 +54,7 @@
 #include "figwell/serving/replicas.h"
 #include "figwell/serving/request_quarantine.h"
 #include "figwell/serving/server_limits.h"
+#include "figwell/serving/server_paces.h"
 #include "figwell/serving/spreading.h"
 #include "figwell/serving/stream_versions.h"
 #include "figwell/serving/summary.h"
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -16,6 +16,7 @@
 #include "figwell/serving/directory.h"
 #include "figwell/serving/prefill_wait.h"
 #include "figwell/serving/server_limits.h"
+#include "figwell/serving/server_paces.h"
 
 namespace figwell::serving {
 
@@ -97,6 +98,8 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  /** How long work takes there now; 1 as usual. See ServerPaces. */
+  std::optional<double> pace;
 
   friend bool operator==(const ReportedLoad&, const ReportedLoad&) = default;
 };
@@ -158,8 +161,8 @@
                                             const Directory& directory,
                                             const RequestNeeds& needs) const;
 
-  void OnReportedLoad(TimePoint now, const ServerId& server,
-                      const ReportedLoad& load);
+  void OnReportedLoad(TimePoint now, const ServiceId& service,
+                      const ServerId& server, const ReportedLoad& load);
   /**
    * Applies a peer's load report.
    * @param replace whether the report replaces what the peer reported before;
@@ -187,6 +190,8 @@
   ServerLimits& limits() { return limits_; }
   const ServerLimits& limits() const { return limits_; }
 
+  const ServerPaces& paces() const { return paces_; }
+
   /** This instance's requests in flight by server, to report to its peers. */
   std::map<ServerId, PeerLoad> OwnLoads() const;
   /** Whether a usable server holds the target. */
@@ -296,6 +301,7 @@
   /** Servers that are gone and of which something is kept; since when. */
   std::map<ServerId, TimePoint> gone_;
   ServerLimits limits_;
+  ServerPaces paces_;
   std::map<InstanceId, PeerState> peers_;
   std::map<DomainId, DomainReachability> domains_;
   std::map<AttemptNumber, Attempt> attempts_;
--- a/libs/serving/src/balancer_outcomes.cc
+++ b/libs/serving/src/balancer_outcomes.cc
@@ -191,8 +191,12 @@
   state.resuming = true;
 }
 
-void Balancer::OnReportedLoad(TimePoint now, const ServerId& server,
+void Balancer::OnReportedLoad(TimePoint now, const ServiceId& service,
+                              const ServerId& server,
                               const ReportedLoad& load) {
+  if (load.pace) {
+    paces_.OnStated(now, service, server, *load.pace);
+  }
   ServerState& state = servers_[server];
   state.reported_load = load;
   state.reported_at = now;
@@ -259,6 +263,7 @@
   gone_.erase(server);
   servers_.erase(server);
   limits_.RemoveServer(server);
+  paces_.RemoveServer(server);
   RemoveAttempts(server);
 }
 
--- a/libs/serving/tests/evacuations_test.cc
+++ b/libs/serving/tests/evacuations_test.cc
@@ -135,8 +135,7 @@
   CHECK(choice->server == ServerId("b"));
   directory.SetEvacuated({kEast, kWest});
   CHECK_FALSE(balancer.Choose(At(0), catalog, directory, needs));
-  CHECK_FALSE(
-      balancer.AnyServerHolds(At(0), directory, kModels, {kModel, {}}));
+  CHECK_FALSE(balancer.AnyServerHolds(At(0), directory, kModels, {kModel, {}}));
   CHECK(directory.IsServiceEvacuated(kModels));
   CHECK_FALSE(directory.HasVersion(kModels, 1));
   directory.SetEvacuated({});
