Send cold servers no more than they bear

What callers saw: none yet measured; the rule on cold servers had nothing in the code that kept it. cold_remaining_ms was checked and dropped, Cold-Ms and the services' cold_start_s and cold_per_s were not read.

Change: a cold server needs permits, like one that states a limit, for three quarters of what it bears. Coldness comes from its entry, from health responses, from the domain's followers (a message of its own, since earlier builds accept no further fields in serialized servers), and is suspected of servers that appear, that cannot be connected to, and that were evacuated.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -293,6 +293,8 @@
       .Set(static_cast<std::int64_t>(state_.directory.entries().size()));
   state_.metrics.GetGauge("figwell_servers_limited")
       .Set(static_cast<std::int64_t>(state_.balancer.limits().size()));
+  state_.metrics.GetGauge("figwell_servers_cold")
+      .Set(static_cast<std::int64_t>(state_.balancer.limits().cold_servers()));
   state_.metrics.GetGauge("figwell_domains_evacuated")
       .Set(static_cast<std::int64_t>(state_.directory.evacuated().size()));
   state_.metrics.GetGauge("figwell_prompts_quarantined")
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -86,6 +86,19 @@
   void OnStaleView(const SharedView& view);
   void OnServerEntries(const std::vector<serving::LoggedEntry>& entries);
   void OnServerChange(const ServerId& id, serving::ServerChange change);
+  /** Applies how long servers stay cold, as far as their entries are known. */
+  void ApplyColdStatements();
+  /** Tells the own domain of servers that are cold, or that have appeared. */
+  void AnnounceColdServers(const std::set<ServerId>& appeared);
+  void OnServersColdMessage(const ServersColdMessage& message);
+  /** The server stays cold for this long, or is warm if it is 0. */
+  void OnServerCold(const ServerId& id, Duration remaining);
+  /** The server may be cold, since nothing recent is known of it. */
+  void SuspectCold(const ServerId& id);
+  /** Nothing was sent to the domain's servers for a while: they may be cold. */
+  void SuspectColdDomain(const DomainId& domain);
+  /** Ends the limits of servers that are warm now. */
+  void TickColdServers(TimePoint now);
   /** A server announced that it is leaving, here or to the peer `from`. */
   void OnServerLeaving(const ServerId& id, std::int64_t started_ms,
                        const std::optional<InstanceId>& from);
@@ -173,6 +186,13 @@
   serving::DomainSummary domain_summary_;
   std::map<InstanceId, Registration> instances_;
   std::map<std::uint64_t, ServerId> server_of_hash_;
+  /** When a start of a server stops being cold, as read or as peers stated. */
+  struct ColdStatement {
+    std::int64_t started_ms = 0;
+    TimePoint until;
+  };
+  std::map<ServerId, ColdStatement> cold_statements_;
+  bool servers_listed_ = false;
   std::map<InstanceId, std::map<ServerId, serving::PeerLoad>> peer_loads_;
   serving::FollowerSelection follower_selection_;
   std::optional<store::KeyValue> leader_record_;
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -121,6 +121,11 @@
         OnEvacuationsMessage(from, *message);
       }
       return;
+    case MessageKind::kServersCold:
+      if (const auto message = peers::Unpack<ServersColdMessage>(bytes)) {
+        OnServersColdMessage(*message);
+      }
+      return;
     case MessageKind::kBuild:
       return;  // its arrival says it all; see PeerGroup
     case MessageKind::kAdapterRequest:
@@ -293,6 +298,7 @@
   for (const ServerId& accepted : state_.directory.AcceptRestored(now)) {
     OnServerChange(accepted, serving::ServerChange::kAppeared);
   }
+  TickColdServers(now);
   state_.evacuations.Tick(now);
   ApplyEvacuations("restore");
   AnnounceEvacuations(now);
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -4,6 +4,7 @@
 #include "edge.h"
 #include "log_text.h"
 #include "run_after.h"
+#include "server_state.h"
 
 namespace figwell::edge {
 namespace {
@@ -16,6 +17,9 @@
 // How often a delegate tells its peers of evacuations: instances that have
 // started while the store does not answer know none.
 constexpr Duration kEvacuationsInterval = std::chrono::milliseconds(1'000);
+// A statement about a server whose entry is not known yet is kept this long
+// after its end.
+constexpr Duration kColdStatementRetention = std::chrono::milliseconds(5'000);
 
 // Decodes a registry entry; logs one that is invalid and returns nullopt.
 std::optional<serving::BackendServer> ReadServer(const store::KeyValue& item) {
@@ -59,7 +63,11 @@
        {"former",
         std::to_string(state_.catalog ? state_.catalog->number() : 0)},
        {"source", std::string(source)}});
+  const bool first = !state_.catalog;
   state_.catalog = std::move(*catalog);
+  if (first) {
+    ApplyColdStatements();
+  }
   state_.rate_limiter.Configure(MonotonicNow(), state_.catalog->teams());
   ApplyLimits(state_.catalog->limits());
   peers_.SetConfiguration(number, document);
@@ -109,6 +117,9 @@
         state_.directory.entries().begin(), state_.directory.entries().end(),
         [&](const auto& item) { return item.second.server.domain == domain; });
     const bool began = current.contains(domain);
+    if (!began) {
+      SuspectColdDomain(domain);
+    }
     state_.metrics
         .GetCounter("figwell_evacuation_changes_total",
                     telemetry::Label("change", began ? "began" : "ended"))
@@ -122,6 +133,14 @@
   last_evacuations_announced_ = {};  // peers learn of it at the next tick
 }
 
+void Edge::SuspectColdDomain(const DomainId& domain) {
+  for (const auto& [id, entry] : state_.directory.entries()) {
+    if (entry.server.domain == domain) {
+      SuspectCold(id);
+    }
+  }
+}
+
 void Edge::OnEvacuationsMessage(const InstanceId& from,
                                 const EvacuationsMessage& message) {
   std::vector<serving::EvacuationRecord> records;
@@ -162,9 +181,14 @@
 SharedViewCallbacks Edge::ServersCallbacks() {
   SharedViewCallbacks callbacks;
   callbacks.encode =
-      [](const store::KeyValue& item) -> std::optional<std::string> {
+      [this](const store::KeyValue& item) -> std::optional<std::string> {
     const auto server = ReadServer(item);
-    return server ? std::optional(PackServer(*server)) : std::nullopt;
+    if (!server) {
+      return std::nullopt;
+    }
+    cold_statements_[server->id] = {server->started_ms,
+                                    MonotonicNow() + server->cold_remaining};
+    return PackServer(*server);
   };
   callbacks.on_changes =
       [this](const std::vector<serving::LoggedEntry>& entries) {
@@ -290,6 +314,7 @@
 
 void Edge::OnServerEntries(const std::vector<serving::LoggedEntry>& entries) {
   const TimePoint now = MonotonicNow();
+  std::set<ServerId> appeared;
   for (const serving::LoggedEntry& entry : entries) {
     const ServerId id = adapter::ServerIdFromKey(entry.key);
     const store::Era era = store::EraOf(entry.revision);
@@ -302,13 +327,29 @@
       }
     } else if (const auto server = UnpackServer(entry.value)) {
       state_.balancer.OnRegistryUpdate(now, id);
-      OnServerChange(id, state_.directory.Put(*server, {now, era}));
+      const auto change = state_.directory.Put(*server, {now, era});
+      OnServerChange(id, change);
+      if (change == serving::ServerChange::kAppeared ||
+          change == serving::ServerChange::kRestarted) {
+        appeared.insert(id);
+      }
     } else {
       telemetry::Log(Event::kEntryUnreadable, server.error().message,
                      {{"server", id.value()}});
       OnServerChange(id, state_.directory.Remove(now, id, era));
     }
   }
+  if (servers_listed_) {
+    // What the store says of it, if this instance reads it, applies below.
+    for (const ServerId& id : appeared) {
+      SuspectCold(id);
+    }
+    if (servers_view_.IsActiveFollower()) {
+      AnnounceColdServers(appeared);
+    }
+  }
+  servers_listed_ = servers_view_.listed();
+  ApplyColdStatements();
   if (servers_view_.IsActiveFollower() && !entries.empty()) {
     SendInterimStatus();  // instances that do not follow the store need it
   }
@@ -348,6 +389,76 @@
   }
 }
 
+void Edge::ApplyColdStatements() {
+  if (!state_.catalog) {
+    return;  // what a cold server bears is not known yet
+  }
+  const TimePoint now = MonotonicNow();
+  std::erase_if(cold_statements_, [&](const auto& item) {
+    const auto& [id, statement] = item;
+    if (state_.directory.IsSameStart(id, statement.started_ms)) {
+      OnServerCold(id, std::max(Duration{0}, statement.until - now));
+      return true;
+    }
+    return now >= statement.until + kColdStatementRetention;
+  });
+}
+
+void Edge::AnnounceColdServers(const std::set<ServerId>& appeared) {
+  const TimePoint now = MonotonicNow();
+  ServersColdMessage message;
+  const auto send = [&] {
+    peers_.SendToOwnDomain(MessageKind::kServersCold, message);
+    message.items.clear();
+  };
+  for (const auto& [id, statement] : cold_statements_) {
+    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(
+        std::max(Duration{0}, statement.until - now));
+    if (remaining.count() == 0 && !appeared.contains(id)) {
+      continue;
+    }
+    message.items.push_back({id.value(), statement.started_ms,
+                             static_cast<std::uint32_t>(remaining.count())});
+    if (message.items.size() == kMaxServerColdItems) {
+      send();
+    }
+  }
+  if (!message.items.empty()) {
+    send();
+  }
+}
+
+void Edge::OnServersColdMessage(const ServersColdMessage& message) {
+  const TimePoint now = MonotonicNow();
+  for (const ServerColdItem& item : message.items) {
+    cold_statements_[ServerId(item.server)] = {
+        item.started_ms, now + std::chrono::milliseconds(item.remaining_ms)};
+  }
+  ApplyColdStatements();
+}
+
+void Edge::OnServerCold(const ServerId& id, Duration remaining) {
+  const bool was_cold = state_.balancer.limits().IsCold(id);
+  ApplyColdTime(state_, id, remaining);
+  if (was_cold && !state_.balancer.limits().Find(id)) {
+    permits_.RemoveServer(id);
+  }
+}
+
+void Edge::SuspectCold(const ServerId& id) {
+  if (const auto* server = state_.directory.Find(id); server != nullptr) {
+    SuspectColdServer(state_, *server);
+  }
+}
+
+void Edge::TickColdServers(TimePoint now) {
+  for (const ServerId& id : state_.balancer.limits().Tick(now)) {
+    if (!state_.balancer.limits().Find(id)) {
+      permits_.RemoveServer(id);
+    }
+  }
+}
+
 void Edge::OnServerLeaving(const ServerId& id, std::int64_t started_ms,
                            const std::optional<InstanceId>& from) {
   const serving::ServerChange change =
@@ -381,7 +492,7 @@
 void Edge::OnLimitStated(const ServerId& id, std::int64_t started_ms,
                          serving::LimitChange change,
                          const std::optional<InstanceId>& from) {
-  const auto limit = state_.balancer.limits().Find(id);
+  const auto limit = state_.balancer.limits().FindStated(id);
   if (change != serving::LimitChange::kNone &&
       change != serving::LimitChange::kConfirmed) {
     state_.metrics
@@ -393,7 +504,7 @@
                     {"per_second", LimitText(limit)},
                     {"from", from ? from->value() : ""}});
   }
-  if (!limit) {
+  if (!state_.balancer.limits().Find(id)) {
     permits_.RemoveServer(id);
   }
   peers_.Announce(MessageKind::kServerLimit,
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -31,6 +31,7 @@
   kStreamsBegan = 16,
   kBuild = 17,
   kEvacuations = 18,
+  kServersCold = 19,
 };
 
 /**
@@ -382,6 +383,41 @@
   }
 };
 
+/** How long a server stays cold; 0 if it is warm. */
+struct ServerColdItem {
+  std::string server;
+  std::int64_t started_ms = 0;
+  std::uint32_t remaining_ms = 0;
+
+  friend bool operator==(const ServerColdItem&,
+                         const ServerColdItem&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(server, started_ms, remaining_ms);
+  }
+};
+
+/**
+ * What an instance that follows the store has read of cold servers, for its own
+ * domain. Serialized servers do not contain it, since earlier builds accept no
+ * further fields there.
+ */
+struct ServersColdMessage {
+  std::vector<ServerColdItem> items;
+
+  friend bool operator==(const ServersColdMessage&,
+                         const ServersColdMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(items);
+  }
+};
+
+/** Number of items that fit into one message if names have 24 bytes. */
+inline constexpr std::size_t kMaxServerColdItems = 24;
+
 struct EvacuationItem {
   std::string domain;
   store::Revision revision = 0;
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -2,6 +2,7 @@
 
 #include "log_text.h"
 #include "request.h"
+#include "server_state.h"
 
 namespace figwell::edge {
 namespace {
@@ -334,6 +335,10 @@
     return;
   }
   if (error.NothingWasSent()) {
+    if (const auto* server = state_.directory.Find(choice_.server)) {
+      // It may be down, and cold once it is back.
+      SuspectColdServer(state_, *server);
+    }
     FailAttempt(serving::Progress::kNotSent, serving::AttemptEnd::kUnreachable,
                 error.message);
     return;
--- a/apps/edge/server_state.cc
+++ b/apps/edge/server_state.cc
@@ -26,6 +26,19 @@
   }
 }
 
+const serving::ServiceSpec* FindService(const State& state,
+                                        const serving::BackendServer* server) {
+  return server == nullptr || !state.catalog
+             ? nullptr
+             : state.catalog->FindService(server->service);
+}
+
+void LogCold(const ServerId& server, Duration remaining,
+             std::string_view cause) {
+  telemetry::Log(Event::kServerCold, cause,
+                 {{"server", server.value()}, {"remaining_ms", Ms(remaining)}});
+}
+
 }  // namespace
 
 http::CallLimits InternalCallLimits(std::chrono::milliseconds timeout) {
@@ -50,6 +63,10 @@
                     {"server", call.server.value()},
                     {"pause_ms", Ms(*answer.pause)}});
   }
+  if (answer.cold_remaining &&
+      state.directory.IsSameStart(call.server, call.started_ms)) {
+    ApplyColdTime(state, call.server, *answer.cold_remaining);
+  }
   ApplyLimit(state, call, answer.limit_per_second);
 }
 
@@ -60,4 +77,25 @@
       adapter::DecodeResponseHead({}, response.status, response.headers));
 }
 
+void ApplyColdTime(State& state, const ServerId& server, Duration remaining) {
+  const auto* service = FindService(state, state.directory.Find(server));
+  if (service == nullptr) {
+    return;
+  }
+  const Duration bounded = std::min(remaining, service->cold_start);
+  if (state.balancer.limits().OnCold(MonotonicNow(), server, bounded,
+                                     service->cold_requests_per_second)) {
+    LogCold(server, bounded, "stated by the server");
+  }
+}
+
+void SuspectColdServer(State& state, const serving::BackendServer& server) {
+  const auto* service = FindService(state, &server);
+  if (service != nullptr && state.balancer.limits().SuspectCold(
+                                MonotonicNow(), server.id, service->cold_start,
+                                service->cold_requests_per_second)) {
+    LogCold(server.id, service->cold_start, "suspected");
+  }
+}
+
 }  // namespace figwell::edge
--- a/apps/edge/server_state.h
+++ b/apps/edge/server_state.h
@@ -25,7 +25,7 @@
 
 /**
  * Applies what a server's answer reports about the server itself: that it is
- * leaving, asks for a pause, or limits the rate of requests.
+ * leaving, asks for a pause, limits the rate of requests, or is cold.
  */
 void ApplyServerState(State& state, const AnsweredCall& call,
                       const adapter::ResponseHead& answer);
@@ -33,6 +33,11 @@
 void ApplyServerState(State& state, const AnsweredCall& call,
                       const http::Response& response);
 
+/** The server stays cold for this long, or is warm if it is 0. */
+void ApplyColdTime(State& state, const ServerId& server, Duration remaining);
+/** The server may be cold: it counts as cold for as long as after a start. */
+void SuspectColdServer(State& state, const serving::BackendServer& server);
+
 }  // namespace figwell::edge
 
 #endif  // FIGWELL_APPS_EDGE_SERVER_STATE_H_
--- a/libs/serving/include/figwell/serving/catalog.h
+++ b/libs/serving/include/figwell/serving/catalog.h
@@ -106,6 +106,10 @@
   std::string health_path;
   int max_connections = 0;
   std::optional<EngineSpec> engine;
+  /** How long a server that starts is cold, 0: not at all. */
+  Duration cold_start{0};
+  /** Requests per second that a cold server bears; 0 means no limit. */
+  double cold_requests_per_second = 0;
 
   friend bool operator==(const ServiceSpec&, const ServiceSpec&) = default;
 };
--- a/libs/serving/include/figwell/serving/directory.h
+++ b/libs/serving/include/figwell/serving/directory.h
@@ -32,6 +32,8 @@
   bool draining = false;
   /** How long a draining server continues to serve, if it reports that. */
   std::optional<Duration> remaining;
+  /** How long the server stays cold, as of the writing of its entry. */
+  Duration cold_remaining{0};
   /**
    * Start time by the server's own clock; distinguishes starts with the same
    * id.
--- a/libs/serving/include/figwell/serving/server_limits.h
+++ b/libs/serving/include/figwell/serving/server_limits.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 #include "figwell/core.h"
 #include "figwell/serving/permits.h"
@@ -25,8 +26,10 @@
 std::string_view Name(LimitChange change);
 
 /**
- * The limits that servers state in their answers: requests per second from all
- * instances together. A limit holds until an answer states none.
+ * Limits on the requests per second from all instances together: those that
+ * servers state in their answers, and those of cold servers. A stated limit
+ * holds until an answer states none. A server that has just started, or that
+ * became cold again, bears only a low rate until it is warm.
  */
 class ServerLimits {
  public:
@@ -45,8 +48,27 @@
   /** Drops the limit of a server that restarted or is gone. */
   void RemoveServer(const ServerId& server);
 
+  /**
+   * The server is cold for `remaining` from now, or warm if that is 0.
+   * @param per_second the rate that it bears while cold; 0: not limited
+   * @return whether it became cold; an extension is no change
+   */
+  bool OnCold(TimePoint now, const ServerId& server, Duration remaining,
+              double per_second);
+  /**
+   * The server may be cold: it is treated so until it states otherwise, but for
+   * `remaining` at most.
+   */
+  bool SuspectCold(TimePoint now, const ServerId& server, Duration remaining,
+                   double per_second);
+  /** Ends the limits of servers that are warm now. @return these servers */
+  std::vector<ServerId> Tick(TimePoint now);
+  bool IsCold(const ServerId& server) const { return cold_.contains(server); }
+
   /** Requests per second; nullopt if the server is not limited. */
   std::optional<double> Find(const ServerId& server) const;
+  /** The limit that the server has stated; nullopt if none is in force. */
+  std::optional<double> FindStated(const ServerId& server) const;
   /**
    * Whether the limit was stated recently. One that was not may have ended: no
    * request has been sent to the server since.
@@ -54,7 +76,9 @@
   bool IsCurrent(TimePoint now, const ServerId& server) const;
   /** Time until a permit may be free; 0 if unknown or without a limit. */
   Duration PermitDelay(TimePoint now, const ServerId& server) const;
+  /** Number of stated limits, and of cold servers. */
   std::size_t size() const { return limits_.size(); }
+  std::size_t cold_servers() const { return cold_.size(); }
 
  private:
   struct Limit {
@@ -68,10 +92,17 @@
     TimePoint permit_free_at;
   };
 
+  struct ColdServer {
+    TimePoint until;
+    double per_second = 0;
+    TimePoint permit_free_at;
+  };
+
   /** Applies a statement. @return kNone, kBegan or kChanged */
   LimitChange Set(TimePoint now, const ServerId& server, double per_second);
 
   std::map<ServerId, Limit> limits_;
+  std::map<ServerId, ColdServer> cold_;
 };
 
 }  // namespace figwell::serving
--- a/libs/serving/src/server_limits.cc
+++ b/libs/serving/src/server_limits.cc
@@ -15,6 +15,9 @@
 // requests at the limit.
 constexpr Duration kMinLifetime = std::chrono::seconds(10);
 constexpr int kLifetimeIntervals = 3;
+// The fraction of a cold server's rate that permits are given for. The rest is
+// for requests of instances that do not know yet that the server is cold.
+constexpr double kColdRateFraction = 0.75;
 
 }  // namespace
 
@@ -84,13 +87,53 @@
 
 void ServerLimits::OnPermit(TimePoint now, const ServerId& server,
                             const Permit& permit) {
-  const auto found = limits_.find(server);
-  if (found != limits_.end()) {
-    const Duration until_next = permit.granted
-                                    ? RequestInterval(found->second.per_second)
-                                    : Duration{0};
-    found->second.permit_free_at = now + permit.wait + until_next;
+  const auto per_second = Find(server);
+  if (!per_second) {
+    return;
+  }
+  const Duration until_next =
+      permit.granted ? RequestInterval(*per_second) : Duration{0};
+  const TimePoint free_at = now + permit.wait + until_next;
+  if (const auto found = limits_.find(server); found != limits_.end()) {
+    found->second.permit_free_at = free_at;
+  }
+  if (const auto found = cold_.find(server); found != cold_.end()) {
+    found->second.permit_free_at = free_at;
+  }
+}
+
+bool ServerLimits::OnCold(TimePoint now, const ServerId& server,
+                          Duration remaining, double per_second) {
+  if (remaining <= Duration{0} || per_second <= 0) {
+    cold_.erase(server);
+    return false;
+  }
+  const auto [found, added] = cold_.try_emplace(server);
+  found->second.until = now + remaining;
+  found->second.per_second = per_second * kColdRateFraction;
+  return added;
+}
+
+bool ServerLimits::SuspectCold(TimePoint now, const ServerId& server,
+                               Duration remaining, double per_second) {
+  const auto found = cold_.find(server);
+  if (found != cold_.end() && found->second.until >= now + remaining) {
+    return false;
+  }
+  return remaining > Duration{0} && OnCold(now, server, remaining, per_second);
+}
+
+std::vector<ServerId> ServerLimits::Tick(TimePoint now) {
+  std::vector<ServerId> warm;
+  for (const auto& [id, cold] : cold_) {
+    if (now >= cold.until) {
+      warm.push_back(id);
+    }
   }
+  for (const ServerId& id : warm) {
+    cold_.erase(id);
+  }
+  return warm;
 }
 
 bool ServerLimits::IsCurrent(TimePoint now, const ServerId& server) const {
@@ -104,17 +147,32 @@
 
 Duration ServerLimits::PermitDelay(TimePoint now,
                                    const ServerId& server) const {
-  const auto found = limits_.find(server);
-  return found == limits_.end()
-             ? Duration{0}
-             : std::max(Duration{0}, found->second.permit_free_at - now);
+  Duration delay{0};
+  if (const auto found = limits_.find(server); found != limits_.end()) {
+    delay = std::max(delay, found->second.permit_free_at - now);
+  }
+  if (const auto found = cold_.find(server); found != cold_.end()) {
+    delay = std::max(delay, found->second.permit_free_at - now);
+  }
+  return delay;
 }
 
 void ServerLimits::RemoveServer(const ServerId& server) {
   limits_.erase(server);
+  cold_.erase(server);
 }
 
 std::optional<double> ServerLimits::Find(const ServerId& server) const {
+  const auto stated = FindStated(server);
+  const auto cold = cold_.find(server);
+  if (cold == cold_.end()) {
+    return stated;
+  }
+  return std::min(stated.value_or(cold->second.per_second),
+                  cold->second.per_second);
+}
+
+std::optional<double> ServerLimits::FindStated(const ServerId& server) const {
   const auto found = limits_.find(server);
   return found == limits_.end() ? std::nullopt
                                 : std::optional(found->second.per_second);
--- a/libs/serving/tests/server_limits_test.cc
+++ b/libs/serving/tests/server_limits_test.cc
@@ -1,5 +1,8 @@
 #include "figwell/serving/server_limits.h"
 
+#include <algorithm>
+
+#include "figwell/serving/permits.h"
 #include "figwell/testing.h"
 
 namespace figwell::serving {
@@ -79,5 +82,74 @@
   CHECK(limits.size() == 0);
 }
 
+TEST_CASE("a cold server is limited until it is warm") {
+  ServerLimits limits;
+  CHECK(limits.OnCold(At(0), kServer, At(3'000) - At(0), 8));
+  CHECK(limits.Find(kServer) == 6);
+  CHECK_FALSE(limits.FindStated(kServer));
+  CHECK_FALSE(limits.OnCold(At(1'000), kServer, At(2'000) - At(0), 8));
+  CHECK(limits.Tick(At(2'999)).empty());
+  CHECK(limits.Tick(At(3'000)) == std::vector{kServer});
+  CHECK_FALSE(limits.Find(kServer));
+}
+
+TEST_CASE("a server that states that it is warm is not limited any more") {
+  ServerLimits limits;
+  limits.SuspectCold(At(0), kServer, At(3'000) - At(0), 8);
+  CHECK(limits.IsCold(kServer));
+  CHECK_FALSE(limits.OnCold(At(100), kServer, Duration{0}, 8));
+  CHECK_FALSE(limits.IsCold(kServer));
+}
+
+TEST_CASE("a suspicion does not shorten what a server has stated") {
+  ServerLimits limits;
+  limits.OnCold(At(0), kServer, At(3'000) - At(0), 8);
+  CHECK_FALSE(limits.SuspectCold(At(0), kServer, At(1'000) - At(0), 8));
+  CHECK(limits.Tick(At(2'000)).empty());
+}
+
+TEST_CASE("of a stated limit and that of a cold server the lower one counts") {
+  ServerLimits limits;
+  limits.OnAnswer(At(0), At(0), kServer, 2.0);
+  limits.OnCold(At(0), kServer, At(3'000) - At(0), 8);
+  CHECK(limits.Find(kServer) == 2);
+  limits.OnAnswer(At(10), At(5), kServer, 40.0);
+  CHECK(limits.Find(kServer) == 6);
+  limits.Tick(At(3'000));
+  CHECK(limits.Find(kServer) == 40);
+}
+
+TEST_CASE("a service without a cold rate has no cold servers") {
+  ServerLimits limits;
+  CHECK_FALSE(limits.OnCold(At(0), kServer, At(3'000) - At(0), 0));
+  CHECK_FALSE(limits.SuspectCold(At(0), kServer, Duration{0}, 8));
+  CHECK(limits.cold_servers() == 0);
+}
+
+// Plays far more requests than a cold server bears, while no other server can
+// take them.
+TEST_CASE("permits keep a cold server below its bound in any second") {
+  constexpr double kBorne = 8;
+  ServerLimits limits;
+  limits.OnCold(At(0), kServer, At(3'000) - At(0), kBorne);
+  PermitScheduler scheduler;
+  std::vector<TimePoint> sent;
+  for (int ms = 0; ms < 3'000; ++ms) {
+    const Permit permit = scheduler.Request(
+        At(ms), kServer, *limits.Find(kServer), std::chrono::milliseconds(400));
+    if (permit.granted) {
+      sent.push_back(At(ms) + permit.wait);
+    }
+  }
+  CHECK(sent.size() >= 3 * 5);
+  for (const TimePoint begin : sent) {
+    const auto in_second =
+        std::count_if(sent.begin(), sent.end(), [&](const TimePoint at) {
+          return at >= begin && at < begin + std::chrono::seconds(1);
+        });
+    CHECK(static_cast<double>(in_second) <= kBorne * 1.5 + 5);
+  }
+}
+
 }  // namespace
 }  // namespace figwell::serving
--- a/libs/telemetry/include/figwell/telemetry.h
+++ b/libs/telemetry/include/figwell/telemetry.h
@@ -76,6 +76,7 @@
   kQuarantineLifted = 1613,
   kVersionAppeared = 1614,
   kEvacuationChanged = 1615,
+  kServerCold = 1616,
   kLeaseAcquired = 1701,
   kLeaseLost = 1702,
   kOrderSent = 1703,
