Check a configuration before it is sent

What operators saw: a configuration that the store accepts can still hold entries that nothing reaches and values that cannot hold together, which show only as refused requests.

Change: figwellctl check FILE reads it with the product's own reader and prints errors with their place, entries that are never used, contradictions, and, with a second file or the store's version, what differs. Exit status 0, 1, 2; table or JSON. Keys are compared and never shown.

Reading from a store is tested only for stores that do not answer.

--- a/apps/figwellctl/main.cc
+++ b/apps/figwellctl/main.cc
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "check.h"
 #include "commands.h"
 #include "session.h"
 
@@ -42,6 +43,7 @@
       ("base", value<std::int64_t>(), "the version that the patch changes")  //
       ("id", value<std::string>(), "the patch's id, to repeat a patch")      //
       ("watch", "print again every two seconds")                             //
+      ("store", value<std::string>(), "the platform's store, for check")     //
       ("help", "print this text and exit")                                   //
       ("model-version", value<std::string>(), "a model's version")           //
       ("version", "print the version and exit")                              //
@@ -105,6 +107,15 @@
     fmt::print(stderr, "--output must be table or json\n");
     return kExitUsage;
   }
+  const auto words = Get<std::vector<std::string>>(values, "command")
+                         .value_or(std::vector<std::string>());
+  if (!words.empty() && words.front() == "check") {
+    return figwell::ctl::RunCheck(
+        {{words.begin() + 1, words.end()},
+         Get<std::string>(values, "store").value_or(std::string()),
+         output == "json"},
+        std::cout, std::cerr);
+  }
   const auto token = ReadToken(values);
   if (!token) {
     return Report(token.error());
@@ -114,10 +125,8 @@
   session_options.admin = values["admin"].as<std::string>();
   session_options.token = *token;
   figwell::ctl::Session session(context, session_options);
-  const auto words = Get<std::vector<std::string>>(values, "command");
-  const auto done =
-      figwell::ctl::RunCommand(words.value_or(std::vector<std::string>()),
-                               ReadCommandOptions(values), session, std::cout);
+  const auto done = figwell::ctl::RunCommand(words, ReadCommandOptions(values),
+                                             session, std::cout);
   return done ? kExitSuccess : Report(done.error());
 }
 
@@ -139,7 +148,8 @@
     return kExitUsage;
   }
   if (values.count("help") > 0) {
-    std::cout << description << '\n' << figwell::ctl::Usage();
+    std::cout << description << '\n'
+              << figwell::ctl::Usage() << figwell::ctl::CheckUsage();
     return kExitSuccess;
   }
   if (values.count("version") > 0) {
--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -6,6 +6,7 @@
  * does no I/O and reads no clock: callers pass the current time. The headers:
  *
  *   catalog.h             Catalog: one version of the configuration
+ *   catalog_check.h       CheckCatalog: a configuration before it is sent
  *   directory.h           Directory: the backend servers that registered
  *   evacuations.h         Evacuations: domains whose servers get nothing
  *   change_log.h          ChangeLog: store changes that instances pass on
@@ -39,6 +40,7 @@
 #include "figwell/serving/balancer.h"
 #include "figwell/serving/buffer_budget.h"
 #include "figwell/serving/catalog.h"
+#include "figwell/serving/catalog_check.h"
 #include "figwell/serving/change_log.h"
 #include "figwell/serving/demand.h"
 #include "figwell/serving/directory.h"
--- a/libs/serving/include/figwell/serving/catalog.h
+++ b/libs/serving/include/figwell/serving/catalog.h
@@ -156,6 +156,10 @@
     return parts_.services;
   }
   const std::map<TeamId, TeamSpec>& teams() const { return parts_.teams; }
+  const std::vector<Route>& routes() const { return parts_.routes; }
+  const std::unordered_map<std::string, TeamId>& team_of_key() const {
+    return parts_.team_of_key;
+  }
 
   /** The route of `host` with the longest prefix of `path`; null if none. */
   const Route* FindRoute(std::string_view host, std::string_view path) const;
