--- a/libs/serving/src/catalog_check.cc
+++ b/libs/serving/src/catalog_check.cc
@@ -82,8 +82,8 @@
       const auto [found, added] =
           first.try_emplace({route.host, route.path_prefix}, &route);
       if (!added) {
-        NeverUsed(PlaceOf(route), "has the host and prefix of " +
-                                      PlaceOf(*found->second));
+        NeverUsed(PlaceOf(route),
+                  "has the host and prefix of " + PlaceOf(*found->second));
       }
       if (!route.path_prefix.starts_with('/') ||
           !route.path_prefix.ends_with('/')) {
@@ -150,14 +150,14 @@
                                             Number(model.weights_mb) +
                                             " MB does not fit into " +
                                             Number(engine.weights_mb) + " MB");
-      } else if (model.adapters > 0 && model.weights_mb + model.adapter_mb >
-                                           engine.weights_mb) {
+      } else if (model.adapters > 0 &&
+                 model.weights_mb + model.adapter_mb > engine.weights_mb) {
         Contradiction(PlaceOf(service),
                       name + " leaves no memory for one of its adapters");
       }
       if (model.adapters > 0 && engine.adapter_slots < 1) {
-        NeverUsed(PlaceOf(service), "the adapters of " + name +
-                                        " have no slot on any server");
+        NeverUsed(PlaceOf(service),
+                  "the adapters of " + name + " have no slot on any server");
       }
     }
   }
@@ -213,12 +213,11 @@
 }
 
 void AddService(const ServiceSpec& service, Places& places) {
-  Fields fields{
-      {"health path", service.health_path},
-      {"connections", std::to_string(service.max_connections)},
-      {"cold start", Milliseconds(service.cold_start)},
-      {"cold rate", Number(service.cold_requests_per_second)},
-      {"engine", service.engine ? "yes" : "no"}};
+  Fields fields{{"health path", service.health_path},
+                {"connections", std::to_string(service.max_connections)},
+                {"cold start", Milliseconds(service.cold_start)},
+                {"cold rate", Number(service.cold_requests_per_second)},
+                {"engine", service.engine ? "yes" : "no"}};
   if (service.engine) {
     const EngineSpec& engine = *service.engine;
     fields["slots"] = std::to_string(engine.slots);
