--- a/apps/figwellctl/ctl/check.cc
+++ b/apps/figwellctl/ctl/check.cc
@@ -64,8 +64,9 @@
   const Result<std::string> text = options.store.empty()
                                        ? ReadText(options.files.at(1))
                                        : ReadFromStore(options.store);
-  return text.and_then(
-      [](const std::string& read) { return adapter::DecodeConfiguration(read); });
+  return text.and_then([](const std::string& read) {
+    return adapter::DecodeConfiguration(read);
+  });
 }
 
 void PrintTables(const CheckResult& result, std::ostream& out) {
@@ -97,9 +98,10 @@
                         {"message", error.message}});
   }
   for (const CatalogFinding& finding : result.findings) {
-    findings.push_back({{"finding", std::string(serving::Name(finding.problem))},
-                        {"place", finding.place},
-                        {"message", finding.message}});
+    findings.push_back(
+        {{"finding", std::string(serving::Name(finding.problem))},
+         {"place", finding.place},
+         {"message", finding.message}});
   }
   json::array differences;
   for (const CatalogDifference& difference : result.differences) {
--- a/apps/figwellctl/ctl/check_test.cc
+++ b/apps/figwellctl/ctl/check_test.cc
@@ -119,11 +119,11 @@
 }
 
 TEST_CASE("a route behind one with its host and prefix is never used") {
-  const Outcome outcome = Check(With(
-      "\"max_attempts\":1}",
-      "\"max_attempts\":1},{\"name\":\"again\",\"host\":\"h\","
-      "\"path_prefix\":\"/chat/\",\"kind\":\"idempotent\",\"service\":"
-      "\"models\",\"timeout_ms\":100}"));
+  const Outcome outcome = Check(
+      With("\"max_attempts\":1}",
+           "\"max_attempts\":1},{\"name\":\"again\",\"host\":\"h\","
+           "\"path_prefix\":\"/chat/\",\"kind\":\"idempotent\",\"service\":"
+           "\"models\",\"timeout_ms\":100}"));
   CHECK(outcome.status == kCheckFindings);
   CHECK(outcome.text.find("route again") != std::string::npos);
   CHECK(outcome.text.find("has the host and prefix of route chat") !=
@@ -173,7 +173,8 @@
     "rate_per_s":1000,"burst":4000})",
       "");
   const auto removed = Check(without_team, kSound, true);
-  CHECK(removed.text.find(R"("place":"team team","field":"","before":"present")") !=
+  CHECK(removed.text.find(
+            R"("place":"team team","field":"","before":"present")") !=
         std::string::npos);
   const auto added = Check(kSound, without_team, true);
   CHECK(added.text.find(R"("before":"","after":"present")") !=
@@ -181,7 +182,8 @@
 }
 
 TEST_CASE("a replaced key is a difference, and no key is shown") {
-  const Outcome outcome = Check(With("secret-key", "another-key"), kSound, true);
+  const Outcome outcome =
+      Check(With("secret-key", "another-key"), kSound, true);
   CHECK(outcome.text.find(R"("field":"keys")") != std::string::npos);
   CHECK(outcome.text.find("secret-key") == std::string::npos);
   CHECK(outcome.text.find("another-key") == std::string::npos);
