Forget with its age that a plain server was slow

What callers saw: three plain servers of six slots at 190 requests a second, one of which takes 120 ms in place of 30 for five seconds: its share fell to 0.00 and stayed there, so that two servers did the work of three.

Cause: an answer time was learned from own answers only and never lost weight. A server that was found slow got no requests, so that nothing could show that it had recovered.

Change: AnswerTime. What was learned approaches the median of the service's servers within seconds, so that the server is tried again, and an answer after a pause counts for as much as it is newer.

--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -13,6 +13,7 @@
  *   follower_selection.h  FollowerSelection: who follows the store itself
  *   affinity.h            PromptIndex: prompt prefixes that a server has cached
  *   prefill_wait.h        PrefillWaitEstimator: waits for prompts ahead
+ *   answer_time.h         AnswerTime: how long a plain server takes
  *   spreading.h           DrawServer: a random choice by cost
  *   balancer.h            Balancer: chooses the server for a request
  *   admission.h           Admit: whether a request can be on time; Retry-After
@@ -36,6 +37,7 @@
 
 #include "figwell/serving/admission.h"
 #include "figwell/serving/affinity.h"
+#include "figwell/serving/answer_time.h"
 #include "figwell/serving/attempts.h"
 #include "figwell/serving/balancer.h"
 #include "figwell/serving/buffer_budget.h"
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -12,6 +12,7 @@
 
 #include "figwell/core.h"
 #include "figwell/serving/affinity.h"
+#include "figwell/serving/answer_time.h"
 #include "figwell/serving/catalog.h"
 #include "figwell/serving/directory.h"
 #include "figwell/serving/prefill_wait.h"
@@ -236,7 +237,7 @@
      */
     bool resuming = false;
     double failure_ratio = 0;
-    Duration service_time{0};
+    AnswerTime answer_time;
     std::optional<PromptIndex> prompt_cache;
     std::map<ModelTarget, Announcement> announcements;
     TimePoint registry_updated_at;
@@ -280,9 +281,13 @@
       const std::vector<const BackendServer*>& candidates,
       const RequestNeeds& needs) const;
   PeerLoad SumPeerLoads(TimePoint now, const ServerId& server) const;
+  /** @param typical_time answer time of the service's servers */
   Choice Estimate(TimePoint now, const Catalog& catalog,
                   const BackendServer& server, const RequestNeeds& needs,
-                  bool is_preferred);
+                  bool is_preferred, Duration typical_time);
+  /** Median of the answer times that were learned of the servers. */
+  Duration TypicalAnswerTime(
+      const std::vector<const BackendServer*>& servers) const;
   double Penalty(TimePoint now, const ServerState& state,
                  const BackendServer& server,
                  double median_failure_ratio) const;
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -127,7 +127,8 @@
 
 Choice Balancer::Estimate(TimePoint now, const Catalog& catalog,
                           const BackendServer& server,
-                          const RequestNeeds& needs, bool is_preferred) {
+                          const RequestNeeds& needs, bool is_preferred,
+                          Duration typical_time) {
   ServerState& state = servers_[server.id];
   const PeerLoad peers = SumPeerLoads(now, server.id);
   Choice choice;
@@ -168,27 +169,45 @@
     const int excess_requests = choice.in_flight - service->engine->slots;
     if (excess_requests >= 0) {
       // The batch is full: running requests have to end first.
-      choice.wait += (excess_requests + 1) *
-                     std::max(state.service_time, kFirstEventLatency);
+      choice.wait +=
+          (excess_requests + 1) *
+          std::max(state.answer_time.learned().value_or(kFirstEventLatency),
+                   kFirstEventLatency);
     }
   } else {
-    const Duration typical_time = state.service_time.count() > 0
-                                      ? state.service_time
-                                      : kDefaultServiceTime;
-    choice.work = typical_time;
+    const Duration answer_time = state.answer_time.Expect(now, typical_time);
+    choice.work = answer_time;
     const int slots = std::max(1, server.slots);
     const int excess_requests = choice.in_flight - slots + 1;
-    choice.wait = excess_requests > 0 ? typical_time * excess_requests / slots
+    choice.wait = excess_requests > 0 ? answer_time * excess_requests / slots
                                       : Duration{0};
     // Adds a little for each busy slot, to prefer the less busy of equal
     // servers.
     choice.wait +=
-        typical_time * std::min(choice.in_flight, slots) / (10 * slots);
+        answer_time * std::min(choice.in_flight, slots) / (10 * slots);
   }
   choice.expected = choice.wait + choice.work;
   return choice;
 }
 
+Duration Balancer::TypicalAnswerTime(
+    const std::vector<const BackendServer*>& servers) const {
+  std::vector<Duration> times;
+  for (const BackendServer* server : servers) {
+    const auto state = servers_.find(server->id);
+    if (state != servers_.end() && state->second.answer_time.learned()) {
+      times.push_back(*state->second.answer_time.learned());
+    }
+  }
+  if (times.empty()) {
+    return kDefaultServiceTime;
+  }
+  const auto median =
+      times.begin() + static_cast<std::ptrdiff_t>((times.size() - 1) / 2);
+  std::nth_element(times.begin(), median, times.end());
+  return *median;
+}
+
 double Balancer::MedianFailureRatio(const Directory& directory,
                                     const ServiceId& service) const {
   std::vector<double> ratios;
@@ -323,13 +342,14 @@
   const BackendServer* preferred = PreferredServer(candidates, needs);
   const double median_failure_ratio =
       MedianFailureRatio(directory, needs.service);
+  const Duration typical_time = TypicalAnswerTime(candidates);
   std::vector<Choice> choices;
   std::vector<double> costs;
   choices.reserve(candidates.size());
   costs.reserve(candidates.size());
   for (const BackendServer* server : candidates) {
-    choices.push_back(
-        Estimate(now, catalog, *server, needs, server == preferred));
+    choices.push_back(Estimate(now, catalog, *server, needs,
+                               server == preferred, typical_time));
     costs.push_back(
         ToMs(choices.back().expected) +
         Penalty(now, servers_[server->id], *server, median_failure_ratio));
--- a/libs/serving/src/balancer_outcomes.cc
+++ b/libs/serving/src/balancer_outcomes.cc
@@ -17,8 +17,6 @@
 // nothing ahead of the request.
 constexpr Duration kMaxSampledWait = milliseconds(20);
 constexpr int kMaxSampledInFlight = 4;
-// Smoothing factor for answer times of a server without an engine.
-constexpr double kServiceTimeSmoothing = 0.1;
 // Backoff after a broken attempt or a failed connection; it doubles with each
 // consecutive failure.
 constexpr Duration kInitialBackoff = milliseconds(500);
@@ -167,14 +165,7 @@
   state.consecutive_failures = 0;
   if (end == AttemptEnd::kAnswered) {
     state.resuming = state.resuming && state.paused_until > now;
-    const Duration took = now - attempt.sent;
-    if (state.service_time.count() == 0) {
-      state.service_time = took;
-    } else {
-      state.service_time += Duration(static_cast<std::int64_t>(
-          kServiceTimeSmoothing *
-          static_cast<double>((took - state.service_time).count())));
-    }
+    state.answer_time.OnAnswer(now, now - attempt.sent);
   }
 }
 
