Estimate with the paces that servers state

Change: a server's stated pace multiplies the work estimated there, and divides what is measured there, so that the speeds of models do not mix those of servers. A statement holds for 400 ms; between statements the server's usual pace counts. An instance hears from a server only every few seconds, so that usual paces are announced when they are new or differ by a fifth. Services whose servers state nothing are estimated as before.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -193,6 +193,10 @@
                                     std::int64_t started_ms) {
     OnServerLeaving(id, started_ms, std::nullopt);
   };
+  state_.on_pace_learned = [this](const ServerId& id, std::int64_t started_ms,
+                                  double usual) {
+    OnPaceLearned(id, started_ms, usual, std::nullopt);
+  };
   state_.on_limit_stated = [this](const ServerId& id, std::int64_t started_ms,
                                   serving::LimitChange change) {
     OnLimitStated(id, started_ms, change, std::nullopt);
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -112,6 +112,9 @@
   void OnLimitStated(const ServerId& id, std::int64_t started_ms,
                      serving::LimitChange change,
                      const std::optional<InstanceId>& from);
+  /** The usual pace of a server was learned, here or by the peer `from`. */
+  void OnPaceLearned(const ServerId& id, std::int64_t started_ms, double usual,
+                     const std::optional<InstanceId>& from);
   void OnInstanceEntries(const std::vector<serving::LoggedEntry>& entries);
   void ApplyInstanceEntry(const serving::LoggedEntry& entry);
 
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -121,6 +121,12 @@
         OnEvacuationsMessage(from, *message);
       }
       return;
+    case MessageKind::kServerPace:
+      if (const auto pace = peers::Unpack<ServerPaceMessage>(bytes)) {
+        OnPaceLearned(ServerId(pace->server), pace->started_ms, pace->usual,
+                      from);
+      }
+      return;
     case MessageKind::kServersCold:
       if (const auto message = peers::Unpack<ServersColdMessage>(bytes)) {
         OnServersColdMessage(*message);
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <iterator>
 
@@ -513,6 +515,26 @@
                   from);
 }
 
+void Edge::OnPaceLearned(const ServerId& id, std::int64_t started_ms,
+                         double usual, const std::optional<InstanceId>& from) {
+  if (!state_.directory.IsSameStart(id, started_ms)) {
+    return;
+  }
+  if (from) {
+    state_.balancer.paces().OnPeerUsual(
+        MonotonicNow(), state_.directory.Find(id)->service, id, usual);
+  } else {
+    state_.metrics.GetCounter("figwell_pace_changes_total").Add();
+    telemetry::Log(
+        Event::kServerPaceChanged, {},
+        {{"server", id.value()}, {"usual", fmt::format("{:.2f}", usual)}});
+  }
+  peers_.Announce(
+      MessageKind::kServerPace,
+      ServerPaceMessage{id.value(), started_ms, static_cast<float>(usual)},
+      from);
+}
+
 // ---------------------------------------------------------------- instances
 
 void Edge::OnInstanceEntries(const std::vector<serving::LoggedEntry>& entries) {
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -32,6 +32,7 @@
   kBuild = 17,
   kEvacuations = 18,
   kServersCold = 19,
+  kServerPace = 20,
 };
 
 /**
@@ -261,6 +262,24 @@
   }
 };
 
+/**
+ * How long work usually takes at a server; see serving::ServerPaces. Sent and
+ * forwarded like ServerLeavingMessage.
+ */
+struct ServerPaceMessage {
+  std::string server;
+  std::int64_t started_ms = 0;
+  float usual = 1;
+
+  friend bool operator==(const ServerPaceMessage&,
+                         const ServerPaceMessage&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(server, started_ms, usual);
+  }
+};
+
 /** Asks a server's arbiter for a permit for one request. */
 struct PermitRequestMessage {
   /** Marks a request that is sent anyway: the arbiter counts it. */
--- a/apps/edge/request_attempt.cc
+++ b/apps/edge/request_attempt.cc
@@ -287,6 +287,7 @@
        {"wait_ms", Ms(choice.wait)},
        {"in_flight", std::to_string(choice.in_flight)},
        {"cached", std::to_string(choice.cached_tokens)},
+       {"pace", fmt::format("{:.2f}", choice.pace)},
        {"remaining_ms", Ms(*fields.remaining)},
        {"limit", LimitText(state_.balancer.limits().Find(choice.server))},
        {"send", std::to_string(sends_)}});
--- a/apps/edge/request_relay.cc
+++ b/apps/edge/request_relay.cc
@@ -27,8 +27,11 @@
   answer_headers_ = headers;
   answer_ = adapter::DecodeResponseHead(head_.id, status, headers);
   if (answer_.load) {
-    state_.balancer.OnReportedLoad(now, needs_.service, choice_.server,
-                                   *answer_.load);
+    const auto announced = state_.balancer.OnReportedLoad(
+        now, needs_.service, choice_.server, *answer_.load);
+    if (announced) {
+      state_.on_pace_learned(choice_.server, choice_.started_ms, *announced);
+    }
   }
   ApplyServerState(state_,
                    {choice_.server, choice_.started_ms, sent_at_, head_.id},
--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -70,6 +70,9 @@
   std::function<void(const ServerId&, std::int64_t started_ms,
                      serving::LimitChange)>
       on_limit_stated;
+  /** The usual pace of a server was learned, or has changed clearly. */
+  std::function<void(const ServerId&, std::int64_t started_ms, double usual)>
+      on_pace_learned;
   /** Reports this instance's charges to the peers before the next interval. */
   std::function<void()> send_interim_status;
 };
--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -68,6 +68,8 @@
   /** Prefill time of the prompts that are ahead of it. */
   Duration prefill_backlog{0};
   Tokens cached_tokens = 0;
+  /** How long work takes there, see ServerPaces; contained in `work`. */
+  double pace = 1;
   /** Requests that were on the server already, as far as known. */
   int in_flight = 0;
   /**
@@ -162,8 +164,10 @@
                                             const Directory& directory,
                                             const RequestNeeds& needs) const;
 
-  void OnReportedLoad(TimePoint now, const ServiceId& service,
-                      const ServerId& server, const ReportedLoad& load);
+  /** @return the server's pace to announce; see ServerPaces::OnStated */
+  std::optional<double> OnReportedLoad(TimePoint now, const ServiceId& service,
+                                       const ServerId& server,
+                                       const ReportedLoad& load);
   /**
    * Applies a peer's load report.
    * @param replace whether the report replaces what the peer reported before;
@@ -191,6 +195,8 @@
   ServerLimits& limits() { return limits_; }
   const ServerLimits& limits() const { return limits_; }
 
+  /** How long work takes at each server. */
+  ServerPaces& paces() { return paces_; }
   const ServerPaces& paces() const { return paces_; }
 
   /** This instance's requests in flight by server, to report to its peers. */
@@ -214,6 +220,7 @@
     Duration backlog_at_send{0};
     int in_flight_at_send = 0;
     Tokens uncached_tokens = 0;
+    double pace = 1;
     TimePoint sent;
     bool awaiting_first_event = true;
     std::vector<PromptPrefix> prefixes;
@@ -237,6 +244,7 @@
      */
     bool resuming = false;
     double failure_ratio = 0;
+    /** At the usual pace. */
     AnswerTime answer_time;
     std::optional<PromptIndex> prompt_cache;
     std::map<ModelTarget, Announcement> announcements;
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -144,6 +144,7 @@
                                        state.reported_load->waiting +
                                        state.sent_since_report);
   }
+  choice.pace = paces_.Pace(now, server.id);
   const ServiceSpec* service = catalog.FindService(server.service);
   if (service != nullptr && service->engine && !needs.target.model.empty()) {
     if (!state.prompt_cache) {
@@ -158,8 +159,9 @@
     const auto uncached_tokens = static_cast<double>(
         std::max<Tokens>(0, needs.prompt_tokens - choice.cached_tokens));
     const double work_ms =
-        uncached_tokens * MillisecondsPerToken(needs.target.model) +
-        ToMs(kFirstEventLatency);
+        choice.pace *
+        (uncached_tokens * MillisecondsPerToken(needs.target.model) +
+         ToMs(kFirstEventLatency));
     choice.work =
         FromMs(work_ms * (1.0 + kGenerationOverhead +
                           kGenerationOverheadPerRequest * choice.in_flight));
@@ -175,7 +177,8 @@
                    kFirstEventLatency);
     }
   } else {
-    const Duration answer_time = state.answer_time.Expect(now, typical_time);
+    const Duration answer_time =
+        FromMs(ToMs(state.answer_time.Expect(now, typical_time)) * choice.pace);
     choice.work = answer_time;
     const int slots = std::max(1, server.slots);
     const int excess_requests = choice.in_flight - slots + 1;
--- a/libs/serving/src/balancer_outcomes.cc
+++ b/libs/serving/src/balancer_outcomes.cc
@@ -82,6 +82,7 @@
   attempt.in_flight_at_send = choice.in_flight;
   attempt.uncached_tokens =
       std::max<Tokens>(0, needs.prompt_tokens - choice.cached_tokens);
+  attempt.pace = choice.pace;
   attempt.sent = now;
   attempt.prefixes = needs.prefixes;
   if (state.prompt_cache) {
@@ -98,9 +99,9 @@
       attempt.uncached_tokens < kMinSampledTokens) {
     return;
   }
-  const double sample =
-      std::max(0.0, ToMs(now - attempt.sent - kFirstEventLatency)) /
-      static_cast<double>(attempt.uncached_tokens);
+  const double sample = std::max(0.0, ToMs(now - attempt.sent) / attempt.pace -
+                                          ToMs(kFirstEventLatency)) /
+                        static_cast<double>(attempt.uncached_tokens);
   double& ms_per_token =
       ms_per_token_.try_emplace(attempt.target.model, kDefaultPrefillMsPerToken)
           .first->second;
@@ -165,7 +166,10 @@
   state.consecutive_failures = 0;
   if (end == AttemptEnd::kAnswered) {
     state.resuming = state.resuming && state.paused_until > now;
-    state.answer_time.OnAnswer(now, now - attempt.sent);
+    state.answer_time.OnAnswer(
+        now,
+        Duration(static_cast<std::int64_t>(
+            static_cast<double>((now - attempt.sent).count()) / attempt.pace)));
   }
 }
 
@@ -182,16 +186,16 @@
   state.resuming = true;
 }
 
-void Balancer::OnReportedLoad(TimePoint now, const ServiceId& service,
-                              const ServerId& server,
-                              const ReportedLoad& load) {
-  if (load.pace) {
-    paces_.OnStated(now, service, server, *load.pace);
-  }
+std::optional<double> Balancer::OnReportedLoad(TimePoint now,
+                                               const ServiceId& service,
+                                               const ServerId& server,
+                                               const ReportedLoad& load) {
   ServerState& state = servers_[server];
   state.reported_load = load;
   state.reported_at = now;
   state.sent_since_report = 0;
+  return load.pace ? paces_.OnStated(now, service, server, *load.pace)
+                   : std::nullopt;
 }
 
 void Balancer::OnPeerLoads(TimePoint now, const InstanceId& peer,
--- a/libs/serving/tests/uneven_servers_test.cc
+++ b/libs/serving/tests/uneven_servers_test.cc
@@ -142,5 +142,93 @@
   CHECK(desks.Share(slow, std::chrono::seconds(5), {}) > 0.2);
 }
 
+TEST_CASE("between statements a server is expected at its usual pace") {
+  const ServerId server("s");
+  ServerPaces paces;
+  TimePoint now{std::chrono::hours(1)};
+  CHECK_FALSE(paces.IsUneven(kDesk));
+  CHECK(paces.Pace(now, server) == 1);
+  for (int i = 0; i < 20; ++i) {
+    paces.OnStated(now += milliseconds(300), kDesk, server, 1.7);
+  }
+  CHECK(paces.IsUneven(kDesk));
+  paces.OnStated(now, kDesk, server, 4.25);
+  CHECK(paces.Pace(now, server) == 4.25);
+  CHECK(paces.Pace(now + milliseconds(600), server) < 2.0);
+  CHECK(paces.UsualPace(server) < 2.0);
+}
+
+TEST_CASE("usual paces are announced when they are new or have changed") {
+  const ServerId server("s");
+  ServerPaces paces;
+  TimePoint now{std::chrono::hours(1)};
+  CHECK(paces.OnStated(now, kDesk, server, 0.7) == 0.7);
+  int announced = 0;
+  for (int i = 0; i < 50; ++i) {
+    announced +=
+        paces.OnStated(now += milliseconds(100), kDesk, server, 0.7) ? 1 : 0;
+  }
+  CHECK(announced == 0);
+  for (int i = 0; i < 50; ++i) {
+    announced +=
+        paces.OnStated(now += milliseconds(100), kDesk, server, 2.8) ? 1 : 0;
+  }
+  CHECK(announced >= 2);
+  CHECK(announced <= 5);
+}
+
+TEST_CASE("a peer's announcement is used unless the server was heard here") {
+  const ServerId server("s");
+  ServerPaces paces;
+  const TimePoint now{std::chrono::hours(1)};
+  paces.OnPeerUsual(now, kDesk, server, 1.7);
+  CHECK(paces.IsUneven(kDesk));
+  CHECK(paces.Pace(now, server) == 1.7);
+  paces.OnStated(now, kDesk, server, 0.7);
+  const double own = paces.UsualPace(server);
+  paces.OnPeerUsual(now + milliseconds(100), kDesk, server, 5);
+  CHECK(paces.UsualPace(server) == own);
+  paces.OnPeerUsual(now + std::chrono::seconds(10), kDesk, server, 5);
+  CHECK(paces.UsualPace(server) == 5);
+}
+
+TEST_CASE("of two engines the one with the better pace is chosen") {
+  const ServiceId models("models");
+  const ModelTarget model{ModelId("m"), ""};
+  CatalogParts parts;
+  ServiceSpec service{models, "/", 0, EngineSpec{}};
+  service.engine->slots = 64;
+  service.engine->cache_tokens = 100'000;
+  service.engine->models.emplace(model.model, ModelSpec{model.model});
+  parts.services.emplace(models, service);
+  const Catalog catalog(std::move(parts));
+  Directory directory;
+  for (const std::string name : {"a", "b"}) {
+    BackendServer server;
+    server.id = ServerId(name);
+    server.service = models;
+    server.domain = kDomain;
+    server.models[model.model] = {};
+    directory.Put(server);
+  }
+  RequestNeeds needs;
+  needs.service = models;
+  needs.target = model;
+  needs.prompt_tokens = 2'000;
+  Balancer balancer(kDomain, 1, milliseconds(3'000));
+  const TimePoint now{std::chrono::hours(1)};
+  const auto first = balancer.Choose(now, catalog, directory, needs);
+  REQUIRE(first);
+  CHECK_FALSE(balancer.paces().IsUneven(models));
+  balancer.OnReportedLoad(now, models, first->server, {1, 0, 64, 2.5});
+  const auto second = balancer.Choose(now, catalog, directory, needs);
+  REQUIRE(second);
+  CHECK(second->server != first->server);
+  // The other one is slower still.
+  balancer.OnReportedLoad(now, models, second->server, {1, 0, 64, 4.0});
+  CHECK(balancer.Choose(now, catalog, directory, needs)->server ==
+        first->server);
+}
+
 }  // namespace
 }  // namespace figwell::serving
--- a/libs/telemetry/include/figwell/telemetry.h
+++ b/libs/telemetry/include/figwell/telemetry.h
@@ -77,6 +77,7 @@
   kVersionAppeared = 1614,
   kEvacuationChanged = 1615,
   kServerCold = 1616,
+  kServerPaceChanged = 1617,
   kLeaseAcquired = 1701,
   kLeaseLost = 1702,
   kOrderSent = 1703,
--- a/libs/telemetry/src/event_catalogue.cc
+++ b/libs/telemetry/src/event_catalogue.cc
@@ -54,6 +54,7 @@
     EventInfo{Event::kVersionAppeared, "version_appeared", Level::kInfo},
     EventInfo{Event::kEvacuationChanged, "evacuation_changed", Level::kWarning},
     EventInfo{Event::kServerCold, "server_cold", Level::kInfo},
+    EventInfo{Event::kServerPaceChanged, "server_pace_changed", Level::kInfo},
     EventInfo{Event::kLeaseAcquired, "lease_acquired", Level::kInfo},
     EventInfo{Event::kLeaseLost, "lease_lost", Level::kWarning},
     EventInfo{Event::kOrderSent, "order_sent", Level::kInfo},
--- a/libs/telemetry/src/metric_catalogue.cc
+++ b/libs/telemetry/src/metric_catalogue.cc
@@ -61,6 +61,8 @@
                "began them is known"},
     MetricInfo{"figwell_evacuation_changes_total", "counter",
                "Evacuations of failure domains that began or ended, by change"},
+    MetricInfo{"figwell_pace_changes_total", "counter",
+               "Usual paces of backend servers that were learned or changed"},
     MetricInfo{"figwell_servers_cold", "gauge",
                "Backend servers that bear only a low rate for now, or may"},
     MetricInfo{"figwell_domains_evacuated", "gauge",
