Take the median of answer times only where it is used, and in one place

Change: one Median, and NeedsEngine for the condition that Estimate had. The test of two engines uses the service that other played loads use.

--- a/libs/serving/include/figwell/serving/balancer.h
+++ b/libs/serving/include/figwell/serving/balancer.h
@@ -289,7 +289,10 @@
       const std::vector<const BackendServer*>& candidates,
       const RequestNeeds& needs) const;
   PeerLoad SumPeerLoads(TimePoint now, const ServerId& server) const;
-  /** @param typical_time answer time of the service's servers */
+  /**
+   * @param typical_time answer time of the service's servers; used only if the
+   * request needs no engine
+   */
   Choice Estimate(TimePoint now, const Catalog& catalog,
                   const BackendServer& server, const RequestNeeds& needs,
                   bool is_preferred, Duration typical_time);
--- a/libs/serving/src/balancer.cc
+++ b/libs/serving/src/balancer.cc
@@ -46,6 +46,24 @@
   return Duration(static_cast<std::int64_t>(ms * 1000.0));
 }
 
+// The lower median; `fallback` if there are no values.
+template <typename T>
+T Median(std::vector<T> values, T fallback) {
+  if (values.empty()) {
+    return fallback;
+  }
+  const auto median =
+      values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+  std::nth_element(values.begin(), median, values.end());
+  return *median;
+}
+
+// Whether the time of the request depends on an engine's prefill.
+bool NeedsEngine(const Catalog& catalog, const RequestNeeds& needs) {
+  const ServiceSpec* service = catalog.FindService(needs.service);
+  return service != nullptr && service->engine && !needs.target.model.empty();
+}
+
 }  // namespace
 
 Duration UnreportedWork(double own_ms_per_second, std::size_t instances) {
@@ -145,10 +163,10 @@
                                        state.sent_since_report);
   }
   choice.pace = paces_.Pace(now, server.id);
-  const ServiceSpec* service = catalog.FindService(server.service);
-  if (service != nullptr && service->engine && !needs.target.model.empty()) {
+  if (NeedsEngine(catalog, needs)) {
+    const EngineSpec& engine = *catalog.FindService(needs.service)->engine;
     if (!state.prompt_cache) {
-      state.prompt_cache.emplace(service->engine->cache_tokens);
+      state.prompt_cache.emplace(engine.cache_tokens);
     }
     choice.cached_tokens = state.prompt_cache->CachedTokens(needs.prefixes);
     if (is_preferred && choice.cached_tokens == 0 &&
@@ -168,7 +186,7 @@
     choice.prefill_backlog = state.prefill_backlog + peers.prefill_backlog;
     choice.wait =
         wait_estimators_[server.service].EstimateWait(choice.prefill_backlog);
-    const int excess_requests = choice.in_flight - service->engine->slots;
+    const int excess_requests = choice.in_flight - engine.slots;
     if (excess_requests >= 0) {
       // The batch is full: running requests have to end first.
       choice.wait +=
@@ -202,13 +220,7 @@
       times.push_back(*state->second.answer_time.learned());
     }
   }
-  if (times.empty()) {
-    return kDefaultServiceTime;
-  }
-  const auto median =
-      times.begin() + static_cast<std::ptrdiff_t>((times.size() - 1) / 2);
-  std::nth_element(times.begin(), median, times.end());
-  return *median;
+  return Median(std::move(times), kDefaultServiceTime);
 }
 
 double Balancer::MedianFailureRatio(const Directory& directory,
@@ -220,13 +232,7 @@
       ratios.push_back(state->second.failure_ratio);
     }
   }
-  if (ratios.empty()) {
-    return 0;
-  }
-  const auto median =
-      ratios.begin() + static_cast<std::ptrdiff_t>((ratios.size() - 1) / 2);
-  std::nth_element(ratios.begin(), median, ratios.end());
-  return *median;
+  return Median(std::move(ratios), 0.0);
 }
 
 bool Balancer::IsUnreachable(TimePoint now, const DomainId& domain) const {
@@ -345,7 +351,8 @@
   const BackendServer* preferred = PreferredServer(candidates, needs);
   const double median_failure_ratio =
       MedianFailureRatio(directory, needs.service);
-  const Duration typical_time = TypicalAnswerTime(candidates);
+  const Duration typical_time =
+      NeedsEngine(catalog, needs) ? Duration{0} : TypicalAnswerTime(candidates);
   std::vector<Choice> choices;
   std::vector<double> costs;
   choices.reserve(candidates.size());
--- a/libs/serving/tests/uneven_servers_test.cc
+++ b/libs/serving/tests/uneven_servers_test.cc
@@ -3,6 +3,7 @@
 
 #include "figwell/serving/balancer.h"
 #include "figwell/testing.h"
+#include "one_model.h"
 
 // Plays servers that differ in speed, for a while or for good: who gets the
 // requests, and when a change is noticed.
@@ -193,39 +194,25 @@
 }
 
 TEST_CASE("of two engines the one with the better pace is chosen") {
-  const ServiceId models("models");
-  const ModelTarget model{ModelId("m"), ""};
-  CatalogParts parts;
-  ServiceSpec service{models, "/", 0, EngineSpec{}};
-  service.engine->slots = 64;
-  service.engine->cache_tokens = 100'000;
-  service.engine->models.emplace(model.model, ModelSpec{model.model});
-  parts.services.emplace(models, service);
-  const Catalog catalog(std::move(parts));
+  const Catalog catalog = MakeOneModelCatalog();
   Directory directory;
-  for (const std::string name : {"a", "b"}) {
-    BackendServer server;
-    server.id = ServerId(name);
-    server.service = models;
-    server.domain = kDomain;
-    server.models[model.model] = {};
-    directory.Put(server);
-  }
+  directory.Put(MakeModelServer(0));
+  directory.Put(MakeModelServer(1));
   RequestNeeds needs;
-  needs.service = models;
-  needs.target = model;
+  needs.service = kOnlyService;
+  needs.target = kOnlyModel;
   needs.prompt_tokens = 2'000;
-  Balancer balancer(kDomain, 1, milliseconds(3'000));
+  Balancer balancer(kOnlyDomain, 1, milliseconds(3'000));
   const TimePoint now{std::chrono::hours(1)};
   const auto first = balancer.Choose(now, catalog, directory, needs);
   REQUIRE(first);
-  CHECK_FALSE(balancer.paces().IsUneven(models));
-  balancer.OnReportedLoad(now, models, first->server, {1, 0, 64, 2.5});
+  CHECK_FALSE(balancer.paces().IsUneven(kOnlyService));
+  balancer.OnReportedLoad(now, kOnlyService, first->server, {1, 0, 64, 2.5});
   const auto second = balancer.Choose(now, catalog, directory, needs);
   REQUIRE(second);
   CHECK(second->server != first->server);
   // The other one is slower still.
-  balancer.OnReportedLoad(now, models, second->server, {1, 0, 64, 4.0});
+  balancer.OnReportedLoad(now, kOnlyService, second->server, {1, 0, 64, 4.0});
   CHECK(balancer.Choose(now, catalog, directory, needs)->server ==
         first->server);
 }
