Read the files of figwellctl's commands in one place

Cause: the check of configurations read files with a loop of its own beside that of 'config patch'. Change: ReadFile serves both, with the same error. Measured: ctl_tests and the check's tests pass unchanged; lint clean.

--- a/apps/figwellctl/ctl/check.cc
+++ b/apps/figwellctl/ctl/check.cc
@@ -2,10 +2,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
-#include <fstream>
-#include <sstream>
 
 #include "figwell/adapter.h"
+#include "files.h"
 #include "tables.h"
 
 namespace figwell::ctl {
@@ -25,15 +24,6 @@
   std::vector<CatalogDifference> differences;
 };
 
-Result<std::string> ReadText(const std::string& file) {
-  std::ifstream stream(file, std::ios::binary);
-  std::ostringstream text;
-  if (!stream || !(text << stream.rdbuf())) {
-    return Fail(ErrorCode::kInvalid, "cannot read " + file);
-  }
-  return text.str();
-}
-
 Result<std::string> ReadFromStore(const std::string& address) {
   if (!http::IsServerAddress(address)) {
     return Fail(ErrorCode::kInvalid, "--store must be IP:PORT");
@@ -62,7 +52,7 @@
 
 Result<CatalogPtr> ReadOther(const CheckOptions& options) {
   const Result<std::string> text = options.store.empty()
-                                       ? ReadText(options.files.at(1))
+                                       ? ReadFile(options.files.at(1))
                                        : ReadFromStore(options.store);
   return text.and_then([](const std::string& read) {
     return adapter::DecodeConfiguration(read);
@@ -138,7 +128,7 @@
     errors << "usage: figwellctl check FILE [OTHER | --store IP:PORT]\n";
     return kCheckUnreadable;
   }
-  const Result<std::string> text = ReadText(options.files.front());
+  const Result<std::string> text = ReadFile(options.files.front());
   if (!text) {
     errors << text.error().message << '\n';
     return kCheckUnreadable;
--- a/apps/figwellctl/ctl/commands.cc
+++ b/apps/figwellctl/ctl/commands.cc
@@ -1,10 +1,9 @@
 #include "commands.h"
 
 #include <boost/json.hpp>
-#include <fstream>
-#include <iterator>
 
 #include "changes.h"
+#include "files.h"
 #include "tables.h"
 
 namespace figwell::ctl {
@@ -78,11 +77,10 @@
 }
 
 Result<void> ConfigPatch(CommandContext& context) {
-  std::ifstream file(context.arguments[0], std::ios::binary);
-  if (!file) {
-    return Fail(ErrorCode::kInvalid, "cannot read " + context.arguments[0]);
+  const Result<std::string> patch = ReadFile(context.arguments[0]);
+  if (!patch) {
+    return tl::unexpected<Error>(patch.error());
   }
-  const std::string patch(std::istreambuf_iterator<char>(file), {});
   VersionNumber base = 0;
   if (context.options.base) {
     base = static_cast<VersionNumber>(*context.options.base);
@@ -94,7 +92,7 @@
     base = configuration->number;
   }
   const auto number = context.session.Patch(
-      base, context.options.id ? *context.options.id : NewPatchId(), patch);
+      base, context.options.id ? *context.options.id : NewPatchId(), *patch);
   if (!number) {
     return tl::unexpected<Error>(number.error());
   }
