Send evacuation records as they are, and look servers up once

Cause: the message had an item of its own with the fields of EvacuationRecord, converted in both directions, and Edge::SuspectCold looked up servers that its callers had. Change: the message holds the records, with the same bytes; the callers pass their servers on.

--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -93,8 +93,6 @@
   void OnServersColdMessage(const ServersColdMessage& message);
   /** The server stays cold for this long, or is warm if it is 0. */
   void OnServerCold(const ServerId& id, Duration remaining);
-  /** The server may be cold, since nothing recent is known of it. */
-  void SuspectCold(const ServerId& id);
   /** Nothing was sent to the domain's servers for a while: they may be cold. */
   void SuspectColdDomain(const DomainId& domain);
   /** Ends the limits of servers that are warm now. */
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -138,20 +138,15 @@
 void Edge::SuspectColdDomain(const DomainId& domain) {
   for (const auto& [id, entry] : state_.directory.entries()) {
     if (entry.server.domain == domain) {
-      SuspectCold(id);
+      SuspectColdServer(state_, entry.server);
     }
   }
 }
 
 void Edge::OnEvacuationsMessage(const InstanceId& from,
                                 const EvacuationsMessage& message) {
-  std::vector<serving::EvacuationRecord> records;
-  records.reserve(message.items.size());
-  for (const EvacuationItem& item : message.items) {
-    records.push_back({DomainId(item.domain), item.revision, item.evacuated});
-  }
   const std::set<DomainId> former = state_.directory.evacuated();
-  state_.evacuations.OnPeerRecords(MonotonicNow(), records);
+  state_.evacuations.OnPeerRecords(MonotonicNow(), message.records);
   ApplyEvacuations("peer");
   if (state_.directory.evacuated() != former) {
     peers_.Announce(MessageKind::kEvacuations, message, from);
@@ -166,13 +161,8 @@
       now - last_evacuations_announced_ < kEvacuationsInterval) {
     return;
   }
-  EvacuationsMessage message;
-  for (const serving::EvacuationRecord& record :
-       state_.evacuations.RecordsForPeers(now)) {
-    message.items.push_back(
-        {record.domain.value(), record.revision, record.evacuated});
-  }
-  if (!message.items.empty()) {
+  const EvacuationsMessage message{state_.evacuations.RecordsForPeers(now)};
+  if (!message.records.empty()) {
     last_evacuations_announced_ = now;
     peers_.Announce(MessageKind::kEvacuations, message, std::nullopt);
   }
@@ -344,7 +334,9 @@
   if (servers_listed_) {
     // What the store says of it, if this instance reads it, applies below.
     for (const ServerId& id : appeared) {
-      SuspectCold(id);
+      if (const auto* server = state_.directory.Find(id)) {
+        SuspectColdServer(state_, *server);
+      }
     }
     if (servers_view_.IsActiveFollower()) {
       AnnounceColdServers(appeared);
@@ -447,12 +439,6 @@
   }
 }
 
-void Edge::SuspectCold(const ServerId& id) {
-  if (const auto* server = state_.directory.Find(id); server != nullptr) {
-    SuspectColdServer(state_, *server);
-  }
-}
-
 void Edge::TickColdServers(TimePoint now) {
   for (const ServerId& id : state_.balancer.limits().Tick(now)) {
     if (!state_.balancer.limits().Find(id)) {
--- a/apps/edge/messages.h
+++ b/apps/edge/messages.h
@@ -437,33 +437,19 @@
 /** Number of items that fit into one message if names have 24 bytes. */
 inline constexpr std::size_t kMaxServerColdItems = 24;
 
-struct EvacuationItem {
-  std::string domain;
-  store::Revision revision = 0;
-  bool evacuated = false;
-
-  friend bool operator==(const EvacuationItem&,
-                         const EvacuationItem&) = default;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(domain, revision, evacuated);
-  }
-};
-
 /**
  * The evacuations that a domain's delegate knows, for peers that the store does
  * not answer. Sent and forwarded like ServerLeavingMessage.
  */
 struct EvacuationsMessage {
-  std::vector<EvacuationItem> items;
+  std::vector<serving::EvacuationRecord> records;
 
   friend bool operator==(const EvacuationsMessage&,
                          const EvacuationsMessage&) = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(items);
+    archive(records);
   }
 };
 
--- a/libs/serving/include/figwell/serving/evacuations.h
+++ b/libs/serving/include/figwell/serving/evacuations.h
@@ -22,6 +22,11 @@
 
   friend bool operator==(const EvacuationRecord&,
                          const EvacuationRecord&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(domain, revision, evacuated);
+  }
 };
 
 /**
