--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -48,12 +48,6 @@
   /** All of the operator's keys, as of a revision. */
   void OnConfigurationListing(const adapter::Listing& listing);
   void OnConfigurationEvent(const store::WatchEvent& event);
-  /** Applies what changed in `state_.evacuations`. */
-  void ApplyEvacuations(std::string_view source);
-  void OnEvacuationsMessage(const InstanceId& from,
-                            const EvacuationsMessage& message);
-  /** Sends the evacuations to the peers if this is the domain's delegate. */
-  void AnnounceEvacuations(TimePoint now);
   void ApplyConfiguration(const std::string& document, std::string_view source);
   SharedViewCallbacks ServersCallbacks();
   SharedViewCallbacks InstancesCallbacks();
@@ -86,17 +80,6 @@
   void OnStaleView(const SharedView& view);
   void OnServerEntries(const std::vector<serving::LoggedEntry>& entries);
   void OnServerChange(const ServerId& id, serving::ServerChange change);
-  /** Applies how long servers stay cold, as far as their entries are known. */
-  void ApplyColdStatements();
-  /** Tells the own domain of servers that are cold, or that have appeared. */
-  void AnnounceColdServers(const std::set<ServerId>& appeared);
-  void OnServersColdMessage(const ServersColdMessage& message);
-  /** The server stays cold for this long, or is warm if it is 0. */
-  void OnServerCold(const ServerId& id, Duration remaining);
-  /** Nothing was sent to the domain's servers for a while: they may be cold. */
-  void SuspectColdDomain(const DomainId& domain);
-  /** Ends the limits of servers that are warm now. */
-  void TickColdServers(TimePoint now);
   /** A server announced that it is leaving, here or to the peer `from`. */
   void OnServerLeaving(const ServerId& id, std::int64_t started_ms,
                        const std::optional<InstanceId>& from);
@@ -116,6 +99,27 @@
   void OnInstanceEntries(const std::vector<serving::LoggedEntry>& entries);
   void ApplyInstanceEntry(const serving::LoggedEntry& entry);
 
+  // edge_evacuations.cc
+  /** Applies what changed in `state_.evacuations`. */
+  void ApplyEvacuations(std::string_view source);
+  void OnEvacuationsMessage(const InstanceId& from,
+                            const EvacuationsMessage& message);
+  /** Sends the evacuations to the peers if this is the domain's delegate. */
+  void AnnounceEvacuations(TimePoint now);
+
+  // edge_cold_servers.cc
+  /** Applies how long servers stay cold, as far as their entries are known. */
+  void ApplyColdStatements();
+  /** Tells the own domain of servers that are cold, or that have appeared. */
+  void AnnounceColdServers(const std::set<ServerId>& appeared);
+  void OnServersColdMessage(const ServersColdMessage& message);
+  /** The server stays cold for this long, or is warm if it is 0. */
+  void OnServerCold(const ServerId& id, Duration remaining);
+  /** Nothing was sent to the domain's servers for a while: they may be cold. */
+  void SuspectColdDomain(const DomainId& domain);
+  /** Ends the limits of servers that are warm now. */
+  void TickColdServers(TimePoint now);
+
   // edge_peers.cc
   void OnMessage(const InstanceId& from, MessageKind kind,
                  std::string_view bytes);
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -1,8 +1,5 @@
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <iterator>
-
 #include "edge.h"
 #include "log_text.h"
 #include "run_after.h"
@@ -16,12 +13,6 @@
 // A caller waits for this at most until its stream is taken up.
 constexpr Duration kCatchUpTimeout = std::chrono::milliseconds(300);
 constexpr Duration kCatchUpRetryInterval = std::chrono::milliseconds(30);
-// How often a delegate tells its peers of evacuations: instances that have
-// started while the store does not answer know none.
-constexpr Duration kEvacuationsInterval = std::chrono::milliseconds(1'000);
-// A statement about a server whose entry is not known yet is kept this long
-// after its end.
-constexpr Duration kColdStatementRetention = std::chrono::milliseconds(5'000);
 
 // Decodes a registry entry; logs one that is invalid and returns nullopt.
 std::optional<serving::BackendServer> ReadServer(const store::KeyValue& item) {
@@ -101,73 +92,6 @@
   }
 }
 
-// -------------------------------------------------------------- evacuations
-
-void Edge::ApplyEvacuations(std::string_view source) {
-  const std::set<DomainId> former = state_.directory.evacuated();
-  const std::set<DomainId> current = state_.evacuations.Domains();
-  if (former == current) {
-    return;
-  }
-  state_.directory.SetEvacuated(current);
-  std::set<DomainId> changed;
-  std::set_symmetric_difference(former.begin(), former.end(), current.begin(),
-                                current.end(),
-                                std::inserter(changed, changed.end()));
-  for (const DomainId& domain : changed) {
-    const auto servers = std::count_if(
-        state_.directory.entries().begin(), state_.directory.entries().end(),
-        [&](const auto& item) { return item.second.server.domain == domain; });
-    const bool began = current.contains(domain);
-    if (!began) {
-      SuspectColdDomain(domain);
-    }
-    state_.metrics
-        .GetCounter("figwell_evacuation_changes_total",
-                    telemetry::Label("change", began ? "began" : "ended"))
-        .Add();
-    telemetry::Log(Event::kEvacuationChanged,
-                   began ? "began: its servers get nothing new" : "ended",
-                   {{"domain", domain.value()},
-                    {"servers", std::to_string(servers)},
-                    {"source", std::string(source)}});
-  }
-  last_evacuations_announced_ = {};  // peers learn of it at the next tick
-}
-
-void Edge::SuspectColdDomain(const DomainId& domain) {
-  for (const auto& [id, entry] : state_.directory.entries()) {
-    if (entry.server.domain == domain) {
-      SuspectColdServer(state_, entry.server);
-    }
-  }
-}
-
-void Edge::OnEvacuationsMessage(const InstanceId& from,
-                                const EvacuationsMessage& message) {
-  const std::set<DomainId> former = state_.directory.evacuated();
-  state_.evacuations.OnPeerRecords(MonotonicNow(), message.records);
-  ApplyEvacuations("peer");
-  if (state_.directory.evacuated() != former) {
-    peers_.Announce(MessageKind::kEvacuations, message, from);
-  }
-}
-
-void Edge::AnnounceEvacuations(TimePoint now) {
-  const bool is_delegate =
-      peers_.Delegates().at(state_.settings.failure_domain) ==
-      state_.settings.instance;
-  if (!is_delegate ||
-      now - last_evacuations_announced_ < kEvacuationsInterval) {
-    return;
-  }
-  const EvacuationsMessage message{state_.evacuations.RecordsForPeers(now)};
-  if (!message.records.empty()) {
-    last_evacuations_announced_ = now;
-    peers_.Announce(MessageKind::kEvacuations, message, std::nullopt);
-  }
-}
-
 // ------------------------------------------------------------------ servers
 
 SharedViewCallbacks Edge::ServersCallbacks() {
@@ -383,70 +307,6 @@
   }
 }
 
-void Edge::ApplyColdStatements() {
-  if (!state_.catalog) {
-    return;  // what a cold server bears is not known yet
-  }
-  const TimePoint now = MonotonicNow();
-  std::erase_if(cold_statements_, [&](const auto& item) {
-    const auto& [id, statement] = item;
-    if (state_.directory.IsSameStart(id, statement.started_ms)) {
-      OnServerCold(id, std::max(Duration{0}, statement.until - now));
-      return true;
-    }
-    return now >= statement.until + kColdStatementRetention;
-  });
-}
-
-void Edge::AnnounceColdServers(const std::set<ServerId>& appeared) {
-  const TimePoint now = MonotonicNow();
-  ServersColdMessage message;
-  const auto send = [&] {
-    peers_.SendToOwnDomain(MessageKind::kServersCold, message);
-    message.items.clear();
-  };
-  for (const auto& [id, statement] : cold_statements_) {
-    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(
-        std::max(Duration{0}, statement.until - now));
-    if (remaining.count() == 0 && !appeared.contains(id)) {
-      continue;
-    }
-    message.items.push_back({id.value(), statement.started_ms,
-                             static_cast<std::uint32_t>(remaining.count())});
-    if (message.items.size() == kMaxServerColdItems) {
-      send();
-    }
-  }
-  if (!message.items.empty()) {
-    send();
-  }
-}
-
-void Edge::OnServersColdMessage(const ServersColdMessage& message) {
-  const TimePoint now = MonotonicNow();
-  for (const ServerColdItem& item : message.items) {
-    cold_statements_[ServerId(item.server)] = {
-        item.started_ms, now + std::chrono::milliseconds(item.remaining_ms)};
-  }
-  ApplyColdStatements();
-}
-
-void Edge::OnServerCold(const ServerId& id, Duration remaining) {
-  const bool was_cold = state_.balancer.limits().IsCold(id);
-  ApplyColdTime(state_, id, remaining);
-  if (was_cold && !state_.balancer.limits().Find(id)) {
-    permits_.RemoveServer(id);
-  }
-}
-
-void Edge::TickColdServers(TimePoint now) {
-  for (const ServerId& id : state_.balancer.limits().Tick(now)) {
-    if (!state_.balancer.limits().Find(id)) {
-      permits_.RemoveServer(id);
-    }
-  }
-}
-
 void Edge::OnServerLeaving(const ServerId& id, std::int64_t started_ms,
                            const std::optional<InstanceId>& from) {
   const serving::ServerChange change =
