--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,217 +1,131 @@
-"""A server crashes while a client asks with HEAD, on a connection that it keeps. The instance's
-own reply to a HEAD request has a body, which comes where the next reply is due."""
+"""The operator withdraws the last tenant. From then on every key passes, also one that no
+configuration ever held."""
 
+import http.client
 import os
 import random
-import socket
 import sys
 import threading
 import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib2"))
 import loopback
 
-DOWN_S = 3.0
-STATUS_TEXT = b"licence 4711: valid until 2027-03-31\n"
-
-
-class Desk:
-    """A server of a plain service for GET and HEAD, which keeps connections open."""
-
-    def __init__(self, deployment):
-        self.id = "i-%08x" % random.getrandbits(32)
-        self.address = "%s:8048" % loopback.random_ip()
-        self.store, self.record = deployment.store, deployment.record
-        self.ran = []
-        self.closing = False
-        self.start()
-        threading.Thread(target=self._heartbeats, daemon=True).start()
-
-    def start(self):
-        host, port = self.address.split(":")
-        self.born = int(time.time() * 1e3)
-        self.connections = set()
-        self.listener = socket.create_server((host, int(port)), backlog=64)
-        self.up = True
-        threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
-        self.record("%s starts" % self.id)
-
-    def crash(self):
-        if self.up:
-            self.up = False
-            self.record("%s crashes" % self.id)
-            for connection in [self.listener] + list(self.connections):
-                try:
-                    connection.shutdown(socket.SHUT_RDWR)
-                except OSError:
-                    pass
-                connection.close()
-
-    def stop(self):
-        self.closing = True
-        self.crash()
-
-    def _heartbeats(self):
-        lease, written = None, None
-        while not self.closing:
-            try:
-                if self.up:
-                    if lease is None:
-                        lease = loopback.post_json(
-                            self.store.address, "/v1/kv-lease",
-                            {"ttl_ms": int(3e3 * loopback.HEARTBEAT_S)})["lease"]
-                        written = None
-                    entry = {
-                        "service": "desk", "address": self.address, "zone": "lahore",
-                        "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0,
-                        "born": self.born, "models": []}
-                    if entry != written:
-                        self.store.write("servers/" + self.id, entry, lease)
-                        written = entry
-                    loopback.post_json(self.store.address, "/v1/kv-keep/%d" % lease, {})
-            except OSError:
-                lease = None
-            time.sleep(loopback.HEARTBEAT_S / 4)
-
-    def _accept(self, listener):
-        while True:
-            try:
-                connection, _ = listener.accept()
-            except OSError:
-                return
-            self.connections.add(connection)
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
-
-    def _serve(self, connection):
-        data = b""
-        try:
-            while True:
-                while b"\r\n\r\n" not in data:
-                    piece = connection.recv(4096)
-                    if not piece:
-                        return
-                    data += piece
-                head, data = data.split(b"\r\n\r\n", 1)
-                lines = head.decode().split("\r\n")
-                fields = dict(line.split(": ", 1) for line in lines[1:])
-                request_id = fields.get("Request-Id", "")
-                fits = fields.get("Expect-Instance") in (None, self.id)
-                if fits and lines[0].split()[1] != "/healthz":
-                    self.ran.append(request_id)
-                    self.record("%s runs %s %s" % (self.id, lines[0].split()[0], request_id))
-                body = STATUS_TEXT if fits else b""
-                text = ("HTTP/1.1 %s\r\nRequest-Id: %s\r\nInstance-Id: %s\r\n%sContent-Length: %d"
-                        "\r\n\r\n" % ("200 OK" if fits else "421 Misdirected Request", request_id,
-                                      self.id, "Response-Seal: seal-%s\r\n" % request_id if fits
-                                      else "", len(body))).encode()
-                connection.sendall(text + (b"" if lines[0].startswith("HEAD ") else body))
-        except OSError:
-            pass
-        finally:
-            connection.close()
-
-
-class Client:
-    """A client with one connection, which it keeps as HTTP/1.1 allows."""
-
-    def __init__(self, edge, record):
-        self.edge, self.record = edge, record
-        self.connection, self.data = None, b""
-
-    def ask(self, method):
-        """Sends a request; returns what is wrong with the reply, or None."""
-        request_id = "%016x" % random.getrandbits(64)
-        fresh = self.connection is None
-        try:
-            if fresh:
-                host, port = self.edge.address.split(":")
-                self.connection, self.data = socket.create_connection((host, int(port)), 1), b""
-                self.connection.settimeout(3)
-            self.connection.sendall((
-                "%s /read/4711 HTTP/1.1\r\nHost: small.example\r\nRequest-Id: %s\r\nDeadline-Ms: "
-                "2000\r\nAuthorization: Token key-a\r\n\r\n" % (method, request_id)).encode())
-            head = self._until(b"\r\n\r\n")
-            if not head.startswith(b"HTTP/1.1 "):
-                self.record("client: %s %s on a %s connection gets %r" % (
-                    method, request_id, "new" if fresh else "kept", head))
-                self.drop()
-                return "%s %s got bytes that are no reply: %r" % (method, request_id, head[:60])
-            fields = dict(line.lower().split(": ", 1) for line in
-                          head.decode().strip().split("\r\n")[1:])
-            # RFC 9112, 6.3: the reply to HEAD ends with its head.
-            body = b"" if method == "HEAD" else self._read(int(fields["content-length"]))
-            self.record("client: %s %s on a %s connection is answered %s%s" % (
-                method, request_id, "new" if fresh else "kept", head.split()[1].decode(),
-                ", sealed" if "response-seal" in fields else ""))
-            if fields.get("request-id", request_id) != request_id:
-                return "%s %s got the reply to %s" % (method, request_id, fields["request-id"])
-            if head.split()[1] == b"200" and method == "GET" and body != STATUS_TEXT:
-                return "%s %s got another body" % (method, request_id)
-            if fields.get("connection") == "close":
-                self.drop()
-        except OSError as error:
-            self.record("client: %s %s: %s" % (method, request_id, error))
-            self.drop()
-        return None
-
-    def _until(self, end):
-        while end not in self.data:
-            piece = self.connection.recv(4096)
-            if not piece:
-                raise OSError("closed")
-            self.data += piece
-        at = self.data.index(end) + len(end)
-        taken, self.data = self.data[:at], self.data[at:]
-        return taken
-
-    def _read(self, size):
-        while len(self.data) < size:
-            piece = self.connection.recv(4096)
-            if not piece:
-                raise OSError("closed")
-            self.data += piece
-        taken, self.data = self.data[:size], self.data[size:]
-        return taken
-
-    def drop(self):
-        if self.connection:
-            self.connection.close()
-        self.connection = None
+CONFIG_S = 2.0
+HELD_KEY, UNKNOWN_KEY = "key-a", "no-configuration-has-this-key"
+
+
+class Handler(BaseHTTPRequestHandler):
+    """A server of a plain service."""
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    id, ran, record = "", [], None
+
+    def log_message(self, *args):
+        pass
+
+    def do_POST(self):
+        self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        request_id = self.headers.get("Request-Id", "")
+        fits = self.headers.get("Expect-Instance") in (None, self.id)
+        if fits:
+            self.ran.append((request_id, self.headers.get("Tenant")))
+            self.record("%s runs %s for tenant %s" % (
+                self.id, request_id, self.headers.get("Tenant")))
+        self.send_response(200 if fits else 421)
+        self.send_header("Request-Id", request_id)
+        self.send_header("Instance-Id", self.id)
+        if fits:
+            self.send_header("Response-Seal", "seal-" + request_id)
+        self.send_header("Content-Length", "2")
+        self.end_headers()
+        self.wfile.write(b"ok")
+
+
+class Listener(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        pass  # the instance closed the connection
+
+
+def configuration(version, tenants):
+    return {
+        "version": version,
+        "routes": [{"name": "fee", "host": "small.example", "path_prefix": "/fee/",
+                    "kind": "non_idempotent", "timeout_ms": 4000, "target_latency_ms": 300,
+                    "priority": 2, "service": "desk", "max_attempts": 1, "public": False}],
+        "services": [{"name": "desk", "health_path": "/healthz"}],
+        "tenants": tenants}
+
+
+def ask(edge, key, record):
+    """Returns (request id, status)."""
+    request_id = "%016x" % random.getrandbits(64)
+    host, port = edge.address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=5)
+    try:
+        connection.request("POST", "/fee/4711", b"fee", {
+            "Host": "small.example", "Request-Id": request_id, "Deadline-Ms": "2000",
+            "Authorization": "Token " + key})
+        status = connection.getresponse().status
+    except (OSError, http.client.HTTPException):
+        status = None
+    finally:
+        connection.close()
+    record("client: %s with the key %s at %s is answered %s"
+           % (request_id, key, edge.name, status))
+    return request_id, status
 
 
 def play(deployment, trouble):
-    deployment.store.write("op/config", {
-        "version": 3,
-        "routes": [{"name": "read", "host": "small.example", "path_prefix": "/read/",
-                    "kind": "idempotent", "timeout_ms": 4000, "target_latency_ms": 300,
-                    "priority": 2, "service": "desk", "max_attempts": 2}],
-        "services": [{"name": "desk", "health_path": "/healthz"}],
-        "tenants": deployment.tenants()})
-    desk = Desk(deployment)
-    deployment.parts.append(desk)
-    edge = deployment.add_edge("edge-lahore-1", "lahore")
-    loopback.wait_until(edge.name + " is ready", edge.is_ready)
+    store, record = deployment.store, deployment.record
+    team = {"name": "team-a", "api_keys": [HELD_KEY], "rate_per_s": 1000000, "burst": 1000000,
+            "plain_tokens": 10}
+    store.write("op/config", configuration(3, [team]))
+    address = "%s:8048" % loopback.random_ip()
+    host, port = address.split(":")
+    Handler.id, Handler.record, Handler.ran = "i-7f3a91c2", record, []
+    server = Listener((host, int(port)), Handler)
+    threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True).start()
+    lease = loopback.post_json(store.address, "/v1/kv-lease", {"ttl_ms": 300000})["lease"]
+    store.write("servers/" + Handler.id, {
+        "service": "desk", "address": address, "zone": "lahore", "version": "v1", "slots": 6,
+        "state": "ready", "cold_remaining_ms": 0, "born": int(time.time() * 1e3), "models": []},
+        lease)
+    for number in (1, 2):
+        deployment.add_edge("edge-lahore-%d" % number, "lahore")
+    for edge in deployment.edges:
+        loopback.wait_until(edge.name + " is ready", edge.is_ready)
     time.sleep(1)
-    client = Client(edge, deployment.record)
-    wrong = []
-    start = time.monotonic()
-    crashed = False
-    number = 0
-    while time.monotonic() < start + 2 + DOWN_S + 3:
-        if trouble and not crashed and time.monotonic() > start + 2:
-            crashed = True
-            desk.crash()
-        if crashed and not desk.up and time.monotonic() > start + 2 + DOWN_S:
-            desk.start()
-        fault = client.ask("HEAD" if number % 2 == 0 else "GET")
-        if fault:
-            wrong.append(fault)
-        number += 1
-        time.sleep(0.1)
-    client.drop()
-    deployment.record("%d requests, %d of them wrongly answered" % (number, len(wrong)))
-    return "MIXED: %d times; first: %s" % (len(wrong), wrong[0]) if wrong else None
+    unknown = []
+    for edge in deployment.edges:
+        if ask(edge, HELD_KEY, record)[1] != 200:
+            raise loopback.CannotRun("the held key is not served")
+        unknown.append(ask(edge, UNKNOWN_KEY, record)[0])
+    if trouble:
+        store.write("op/config", configuration(7, []))
+        record("the store has accepted version 7, without the tenant")
+        time.sleep(CONFIG_S + 1)
+    withdrawn = []
+    for _ in range(5):
+        for edge in deployment.edges:
+            unknown.append(ask(edge, UNKNOWN_KEY, record)[0])
+            request_id, _ = ask(edge, HELD_KEY, record)
+            if trouble:
+                withdrawn.append(request_id)
+    server.shutdown()
+    ran = dict(Handler.ran)
+    ran_unknown = [r for r in unknown if r in ran]
+    ran_withdrawn = [r for r in withdrawn if r in ran]
+    record("run: %d of %d requests with a key that no configuration held, %d of %d with the "
+           "withdrawn key" % (len(ran_unknown), len(unknown), len(ran_withdrawn), len(withdrawn)))
+    if ran_unknown:
+        return "ROUTE: %d of %d requests with a key that no configuration held ran" % (
+            len(ran_unknown), len(unknown))
+    return None
 
 
 sys.exit(loopback.run_case(HERE, play))
