--- a/review/lib2/loopback.py
+++ b/review/lib2/loopback.py
@@ -101,14 +101,17 @@
 
 
 class Store:
-    def __init__(self, folder, record):
+    def __init__(self, folder):
         self.address = "%s:8225" % random_ip()
-        self.record = record
         log = open(os.path.join(folder, "store.log"), "ab")
         self.child = subprocess.Popen(
             [sys.executable, os.path.join(ROOT, "platform/soak/standins.py"), "store",
              "--listen", self.address, "--era", "1"], stdout=log, stderr=log)
-        wait_until("the store listens", self.is_up)
+        try:
+            wait_until("the store listens", self.is_up)
+        except CannotRun:
+            self.stop()
+            raise
 
     def is_up(self):
         try:
@@ -453,7 +456,6 @@
 
     def setup(self):
         super().setup()
-        self.born = self.engine.born
         self.engine.connections.add(self.connection)
 
     def finish(self):
@@ -525,7 +527,7 @@
         self.folder = tempfile.mkdtemp(prefix="figwell-review-")
         self.parts, self.edges, self.engines, self.callers = [], [], [], []
         self.sent = 0
-        self.store = Store(self.folder, self.record)
+        self.store = Store(self.folder)
         self.parts.append(self.store)
 
     def configure(self, models, weights_mb, adapter_slots, loads_per_s):
@@ -627,10 +629,11 @@
         deployment.record("BROKEN: " + broken if broken else "the rule held")
         print("broken: " + broken if broken else "held")
         return 1 if broken else 0
-    except (CannotRun, OSError) as error:
+    except Exception as error:  # whatever it is, it says nothing about the rule
+        text = "cannot run: %s: %s" % (type(error).__name__, error)
         if deployment:
-            deployment.record("cannot run: %s" % error)
-        print("cannot run: %s" % error)
+            deployment.record(text)
+        print(text)
         return 2
     finally:
         if deployment:
