--- a/review/lib2/loopback.py
+++ b/review/lib2/loopback.py
@@ -149,6 +149,9 @@
     def __init__(self, name, zone, store, folder, record, max_fds=None):
         """`max_fds` is the machine's limit of descriptors, as DEPLOY.md states it."""
         self.name, self.record, self.folder, self.max_fds = name, record, folder, max_fds
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if max_fds and hard != resource.RLIM_INFINITY:
+            self.max_fds = min(max_fds, hard)
         self.ip = random_ip()
         while not is_free(self.ip, 9464):
             self.ip = random_ip()
