--- a/review/lib2/loopback.py
+++ b/review/lib2/loopback.py
@@ -20,6 +20,7 @@
 import tempfile
 import threading
 import time
+import urllib.error
 import urllib.request
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
@@ -217,8 +218,10 @@
 class Engine:
     """A model server. It can be told to leave one order unanswered and carry it out late."""
 
-    def __init__(self, name, zone, store, record, models, weights_mb, adapter_slots, held):
+    def __init__(self, name, zone, store, record, models, weights_mb, adapter_slots, held,
+                 version="v1", events=EVENTS, event_gap_s=0.01):
         self.name, self.zone, self.store, self.record = name, zone, store, record
+        self.version, self.events, self.event_gap_s = version, events, event_gap_s
         self.specs, self.weights_mb, self.adapter_slots = models, weights_mb, adapter_slots
         self.address = "%s:8048" % random_ip()
         self.lock = threading.RLock()
@@ -305,7 +308,7 @@
                         state = self._state()
                         entry = {
                             "service": "models", "address": self.address, "zone": self.zone,
-                            "version": "v1", "slots": 16, "state": "ready",
+                            "version": self.version, "slots": 16, "state": "ready",
                             "cold_remaining_ms": 0, "born": self.born,
                             "models": state["models"], "stage": "colocated"}
                     if lease is None:
@@ -319,8 +322,11 @@
                     if born != self.born:
                         born = self.born
                         self.record("%s registered, born %d" % (self.name, born))
+            except urllib.error.HTTPError as error:
+                if error.code == 404:
+                    lease = None  # it has ended
             except OSError:
-                lease = None
+                pass  # the store is away; again at the next heartbeat
             time.sleep(HEARTBEAT_S / 4)
 
     def registered(self):
@@ -517,11 +523,15 @@
                                      ("Transfer-Encoding", "chunked")]:
             self.send_header(name, value)
         self.end_headers()
-        for number in range(1, EVENTS + 1):
-            event = b"id: %d\ndata: %s\n\n" % (number, str(request_id).encode())
-            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-            time.sleep(0.01)
-        self.wfile.write(b"0\r\n\r\n")
+        first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        try:
+            for number in range(first, engine.events + 1):
+                event = b"id: %d\ndata: %s\n\n" % (number, engine.version.encode())
+                self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+                time.sleep(engine.event_gap_s)
+            self.wfile.write(b"0\r\n\r\n")
+        except OSError:
+            self.close_connection = True
 
 
 class Deployment:
@@ -533,12 +543,13 @@
         self.store = Store(self.folder)
         self.parts.append(self.store)
 
-    def configure(self, models, weights_mb, adapter_slots, loads_per_s):
+    def configure(self, models, weights_mb, adapter_slots, loads_per_s, **route_fields):
         self.models = models
         self.engine_spec = dict(weights_mb=weights_mb, adapter_slots=adapter_slots)
         route = {"name": "chat", "host": "small.example", "path_prefix": "/chat/",
                  "kind": "streaming", "timeout_ms": 5000, "target_latency_ms": 800,
                  "gap_aim_ms": 400, "priority": 0, "service": "models", "max_attempts": 2}
+        route.update(route_fields)
         runtime = {"slots": 16, "kv_capacity": 100000, "weights_mb": weights_mb,
                    "adapter_slots": adapter_slots, "loads_per_s": loads_per_s,
                    "models": [dict({"name": n}, **spec) for n, spec in models.items()]}
@@ -551,9 +562,9 @@
         return [{"name": team, "api_keys": [key], "rate_per_s": 1000000,
                          "burst": 1000000, "plain_tokens": 10} for team, key in KEYS.items()]
 
-    def add_engine(self, name, zone, held):
+    def add_engine(self, name, zone, held, **options):
         engine = Engine(name, zone, self.store, self.record, self.models, held=held,
-                        **self.engine_spec)
+                        **self.engine_spec, **options)
         self.engines.append(engine)
         self.parts.append(engine)
         return engine
