--- a/review/7/case.py
+++ b/review/7/case.py
@@ -133,4 +133,5 @@
     return None
 
 
-sys.exit(loopback.run_case(HERE, play))
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # TROUBLE=0: the same without the disruption
+sys.exit(loopback.run_case(os.path.join(HERE, "record.txt"), TROUBLE, play))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -11,8 +11,9 @@
 
 MODEL = {"weights_mb": 65000, "load_s": 1.2, "disk_s": 0.9, "warm_s": 0.7, "adapters": 0,
          "adapter_mb": 0}
-MODELS = {"m%d" % n: MODEL for n in range(1, 6)}
 HELD = ["m1", "m2", "m3"]  # three of 65 GB fit into 220 GB
+OTHERS = ["n%d" % n for n in range(1, 10)]  # on the three other servers, always asked for
+MODELS = {name: MODEL for name in HELD + ["m4", "m5"] + OTHERS}
 LATE_S = 11.0
 # A subset of these steps shows which of them it takes.
 STEPS = os.environ.get("STEPS", "late,crash,kill").split(",")
@@ -22,13 +23,18 @@
     steps = STEPS if trouble else []
     deployment.configure(MODELS, weights_mb=220000, adapter_slots=0, loads_per_s=2.1)
     engine = deployment.add_engine("i-7f3a91c2", "lahore", HELD)
-    loopback.wait_until("the engine is registered", engine.registered)
+    for number in range(3):  # one of four servers crashes
+        deployment.add_engine("i-other-%d" % number, "lahore", OTHERS[3 * number:3 * number + 3])
+    for each in deployment.engines:
+        loopback.wait_until(each.name + " is registered", each.registered)
     for number in (1, 2):
         deployment.add_edge("edge-lahore-%d" % number, "lahore")
     for edge in deployment.edges:
         loopback.wait_until(edge.name + " is ready", edge.is_ready)
     loopback.wait_until("an instance leads", deployment.store.leader)
     leader = deployment.edge(deployment.store.leader())
+    deployment.call_steadily(OTHERS, interval=0.02)
+    time.sleep(3)  # the leader knows what is asked for
 
     # Demand moves to m4, then to m5: the engine is full, so one model makes room for each.
     def lose_load_of_m5(order, sequence):
@@ -64,7 +70,9 @@
     time.sleep(max(0, sent + LATE_S + 1.5 - time.monotonic()))
     deployment.record("the engine held %s; %d requests were sent, %d were run"
                       % (sorted(engine.held), deployment.sent, len(engine.runs)))
-    return "LIMIT: " + engine.crashes_by_order[0] if engine.crashes_by_order else None
+    overfilled = [text for each in deployment.engines for text in each.crashes_by_order]
+    return "LIMIT: " + overfilled[0] if overfilled else None
 
 
-sys.exit(loopback.run_case(HERE, play))
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # TROUBLE=0: the same without the disruption
+sys.exit(loopback.run_case(os.path.join(HERE, "record.txt"), TROUBLE, play))
--- a/review/lib2/loopback.py
+++ b/review/lib2/loopback.py
@@ -35,6 +35,7 @@
 REPORT_AGE_S = 0.2
 ADAPTER_LOAD_S = 0.02
 EVENTS = 6
+MAX_S = 116  # a script may run for 120 s
 KEYS = {"team-a": "key-a", "team-b": "key-b"}
 
 
@@ -535,8 +536,8 @@
 
 
 class Deployment:
-    def __init__(self, case_folder):
-        self.record = Record(os.path.join(case_folder, "record.txt"))
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="figwell-review-")
         self.parts, self.edges, self.engines, self.callers = [], [], [], []
         self.sent = 0
@@ -588,7 +589,7 @@
         try:
             connection.request("POST", "/chat/2f", b"prompt", {
                 "Host": "small.example", "Request-Id": request_id, "Model": target,
-                "Token-Usage": "40,8", "Deadline-Ms": "5000",
+                "Token-Usage": "400,8", "Deadline-Ms": "5000",
                 "Authorization": "Token " + KEYS["team-a"]})
             response = connection.getresponse()
             status = response.status
@@ -626,19 +627,32 @@
         for stopped in self.callers:
             stopped.set()
         for part in reversed(self.parts):
-            part.stop()
+            try:
+                part.stop()
+            except Exception as error:  # the others have to end all the same
+                self.record("could not end %s: %s" % (type(part).__name__, error))
+        self.record("ended all that was started")
         if os.environ.get("KEEP_LOGS"):
             print("logs in " + self.folder)
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_case(case_folder, play):
-    """Plays a case; the exit status is 1 if the rule was broken, 0 if not, 2 if it can't run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def interrupt(number, _):
+    raise CannotRun("%s, or the time of a script was over" % signal.Signals(number).name)
+
+
+def run_case(record_path, trouble, play):
+    """Plays a case; the exit status is 1 if the rule was broken, 0 if not, 2 if it can't run.
+
+    However it ends, on a signal or after MAX_S too, all that it started is ended.
+    """
     deployment = None
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, interrupt)
+    signal.alarm(MAX_S)
     try:
-        deployment = Deployment(case_folder)
+        deployment = Deployment(record_path)
         broken = play(deployment, trouble)
         deployment.record("BROKEN: " + broken if broken else "the rule held")
         print("broken: " + broken if broken else "held")
@@ -650,5 +664,8 @@
         print(text)
         return 2
     finally:
+        signal.alarm(0)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
         if deployment:
             deployment.stop()
