Streams of unknown version wait until a restored store is complete

What callers saw: the store came back from a copy of before a release while all instances were killed.

Cause: a process that starts took the absence of a second version, in the record and in the registry, for its absence over the last two minutes. After a restore both lack what is younger than the copy until it is written again.

Change: KnownPast says when absence is evidence. After a start the store counts as complete 2.5 s after its first answer in the era, or at once if an instance has recorded the era under complete/era. Until then streams of unknown beginning wait; those that cannot wait are refused at once. Instances that lived through the restore write remembered versions again at once, also those whose servers have left.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -139,6 +139,7 @@
       permits_(state_, peers_),
       quarantine_(state_, store_, server_http_, peers_, permits_),
       versions_(state_, store_, peers_),
+      past_(state_, store_, versions_),
       registrar_(state_, store_),
       placement_(state_, store_, server_http_, peers_, permits_, registrar_,
                  incarnation_),
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "past_driver.h"
 #include "peer_group.h"
 #include "permit_client.h"
 #include "placement_driver.h"
@@ -175,6 +176,7 @@
   PermitClient permits_;
   QuarantineDriver quarantine_;
   VersionDriver versions_;
+  PastDriver past_;
   Registrar registrar_;
   PlacementDriver placement_;
   StoreFollower configuration_follower_;
--- a/apps/edge/edge_peers.cc
+++ b/apps/edge/edge_peers.cc
@@ -312,6 +312,8 @@
     UpdateFleetSize(now);
     UpdateFollowing(now);
     versions_.Tick(now);
+    past_.Tick(now, servers_view_.IsActiveFollower() &&
+                        instances_view_.IsActiveFollower());
   }
   SendStatus(now);
   if (now - last_build_announced_ >= kBuildAnnouncementInterval) {
--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -407,6 +407,7 @@
   }
   peers_.SetRegistered(instances_);
   if (first) {
+    past_.OnRecordsListed();
     versions_.OnRecordsListed();
     UpdateFleetSize(MonotonicNow());  // later changes are applied at each tick
   }
@@ -421,6 +422,10 @@
     versions_.OnStoreEntry(entry);
     return;
   }
+  if (entry.key == past_.Key()) {
+    past_.OnStoreEntry(entry);
+    return;
+  }
   const std::string prefix = registrar_.InstancesPrefix();
   if (!entry.key.starts_with(prefix)) {
     return;
--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -106,7 +106,7 @@
 
 void CallerRequest::FindStreamVersion() {
   versions_.Find(
-      needs_.service, head_.first_request,
+      needs_.service, head_.first_request, deadline_,
       [self = shared_from_this()](std::optional<serving::VersionHash> version) {
         if (!self->done_) {
           self->OnStreamVersion(version);
--- a/apps/edge/state.h
+++ b/apps/edge/state.h
@@ -37,6 +37,7 @@
   /** Null until a first configuration is in force. */
   serving::CatalogPtr catalog;
   serving::Directory directory;
+  serving::KnownPast past;
   serving::Evacuations evacuations;
   serving::Balancer balancer;
   serving::TeamRateLimiter rate_limiter;
--- a/apps/edge/version_driver.cc
+++ b/apps/edge/version_driver.cc
@@ -16,6 +16,9 @@
 using telemetry::Event;
 
 constexpr Duration kTickInterval = milliseconds(5'000);
+// What the store lost is saved again before others take it to be complete.
+constexpr Duration kMaxResaveDelay = kMaxSaveDelay / 2;
+constexpr Duration kMaxCompletionCheckInterval = milliseconds(100);
 // Fits into a datagram.
 constexpr std::size_t kMaxStreamsPerMessage = 100;
 
@@ -95,18 +98,38 @@
 
 void VersionDriver::Find(
     const ServiceId& service, const RequestId& first_request,
+    TimePoint needed_by,
     std::function<void(std::optional<serving::VersionHash>)> on_found) {
   const TimePoint now = MonotonicNow();
   const serving::StreamHash stream = serving::HashOfStream(first_request);
   if (!records_listed_) {
     on_found(std::nullopt);
-  } else if (const auto version =
-                 state_.stream_versions.FindBegun(now, stream)) {
+    return;
+  }
+  if (const auto version = state_.stream_versions.FindBegun(now, stream)) {
     on_found(version);
-  } else {
-    searches_.push_back({service, stream, std::move(on_found)});
-    CatchUp();
+    return;
+  }
+  const auto complete_from = state_.past.CompleteFrom();
+  if (!complete_from || *complete_from >= needed_by) {
+    on_found(std::nullopt);
+    return;
+  }
+  if (*complete_from > now) {
+    state_.metrics.GetCounter("figwell_streams_held_total").Add();
   }
+  searches_.push_back({service, stream, std::move(on_found)});
+  CatchUp();
+}
+
+void VersionDriver::AwaitCompleteStore(TimePoint now) {
+  // A restore may begin another era meanwhile, so it is checked again.
+  const TimePoint from = state_.past.CompleteFrom().value_or(now);
+  RunAfter(state_.context, std::min(from - now, kMaxCompletionCheckInterval),
+           [this] {
+             catching_up_ = false;
+             CatchUp();
+           });
 }
 
 void VersionDriver::CatchUp() {
@@ -114,6 +137,10 @@
     return;
   }
   catching_up_ = true;
+  if (const TimePoint now = MonotonicNow(); !state_.past.IsStoreComplete(now)) {
+    AwaitCompleteStore(now);
+    return;
+  }
   // Searches that come later need another read of the store.
   state_.catch_up_with_servers(
       [this, searches = std::exchange(searches_, {})](bool caught_up) {
@@ -138,11 +165,14 @@
   const ServiceId service(entry.key.substr(RecordsPrefix().size()));
   if (entry.removed) {
     records_.erase(service);
-    return;
+  } else {
+    records_[service] = {ParseIds(entry.value), entry.revision};
+    state_.stream_versions.OnRecord(MonotonicNow(), service,
+                                    records_[service].versions);
+  }
+  if (!state_.past.IsEraRecorded()) {
+    SaveSoon(service);  // the store may have lost what is known here
   }
-  records_[service] = {ParseIds(entry.value), entry.revision};
-  state_.stream_versions.OnRecord(MonotonicNow(), service,
-                                  records_[service].versions);
 }
 
 std::set<serving::VersionHash> VersionDriver::Registered(
@@ -158,11 +188,16 @@
 
 std::set<serving::VersionHash> VersionDriver::Wanted(
     TimePoint now, const ServiceId& service) const {
+  std::set<serving::VersionHash> wanted = Registered(service);
+  const auto remembered = state_.stream_versions.Versions(now, service);
+  if (!state_.past.IsEraRecorded()) {
+    // The record may be from an older copy of the store.
+    wanted.insert(remembered.begin(), remembered.end());
+    return wanted;
+  }
   // Versions that only the record has are kept while they are remembered here,
   // and never written again after another instance has removed them.
-  std::set<serving::VersionHash> wanted = Registered(service);
   if (const auto record = records_.find(service); record != records_.end()) {
-    const auto remembered = state_.stream_versions.Versions(now, service);
     std::set_intersection(record->second.versions.begin(),
                           record->second.versions.end(), remembered.begin(),
                           remembered.end(),
@@ -188,15 +223,24 @@
 
 bool VersionDriver::IsSaved(const ServiceId& service) const {
   const auto record = records_.find(service);
+  // The store may have lost a record of an earlier era.
   return record != records_.end() &&
+         store::EraOf(record->second.revision) == store_.era() &&
          record->second.versions == Wanted(MonotonicNow(), service);
 }
 
+bool VersionDriver::AllSaved() const {
+  return std::all_of(
+      state_.directory.entries().begin(), state_.directory.entries().end(),
+      [&](const auto& item) { return IsSaved(item.second.server.service); });
+}
+
 void VersionDriver::SaveSoon(const ServiceId& service) {
   if (IsSaved(service) || !saving_.insert(service).second) {
     return;
   }
-  RunWithin(state_.context, state_.random, kMaxSaveDelay,
+  RunWithin(state_.context, state_.random,
+            state_.past.IsEraRecorded() ? kMaxSaveDelay : kMaxResaveDelay,
             [this, service] { Save(service); });
 }
 
--- a/apps/edge/version_driver.h
+++ b/apps/edge/version_driver.h
@@ -31,11 +31,14 @@
   void OnMessage(const InstanceId& from, const StreamsBeganMessage& message);
   /**
    * Finds the version at which a stream may go on; nullopt if it is not known,
-   * or if the records have not been read. That all streams of a service began
-   * at its single version is assumed only once all servers are known that have
-   * registered: an instance that was cut off or stood still may not know them.
+   * if the records have not been read, or if it cannot be known in time. That
+   * all streams of a service began at its single version is assumed only once
+   * all servers are known that have registered: an instance that was cut off or
+   * stood still may not know them, and a store that was restored may lack them.
+   * @param needed_by when the caller no longer waits for the stream
    */
   void Find(const ServiceId& service, const RequestId& first_request,
+            TimePoint needed_by,
             std::function<void(std::optional<serving::VersionHash>)> on_found);
   /** All records of the store have been read once. */
   void OnRecordsListed() { records_listed_ = true; }
@@ -45,6 +48,8 @@
   void Tick(TimePoint now);
 
   std::string RecordsPrefix() const;
+  /** Whether the store has the versions of all services as known here. */
+  bool AllSaved() const;
 
  private:
   /** The versions of a service as the store has them. */
@@ -61,6 +66,7 @@
 
   /** Continues the searches once all servers are known. */
   void CatchUp();
+  void AwaitCompleteStore(TimePoint now);
   void AnnounceStreams(const ServiceId& service);
   void Announce(serving::VersionHash version,
                 const std::vector<serving::StreamHash>& streams);
--- a/libs/serving/include/figwell/serving.h
+++ b/libs/serving/include/figwell/serving.h
@@ -8,6 +8,7 @@
  *   catalog.h             Catalog: one version of the configuration
  *   catalog_check.h       CheckCatalog: a configuration before it is sent
  *   directory.h           Directory: the backend servers that registered
+ *   known_past.h          KnownPast: what absence shows after a start
  *   evacuations.h         Evacuations: domains whose servers get nothing
  *   change_log.h          ChangeLog: store changes that instances pass on
  *   follower_selection.h  FollowerSelection: who follows the store itself
@@ -49,6 +50,7 @@
 #include "figwell/serving/engine_state.h"
 #include "figwell/serving/evacuations.h"
 #include "figwell/serving/follower_selection.h"
+#include "figwell/serving/known_past.h"
 #include "figwell/serving/leadership.h"
 #include "figwell/serving/order_tracker.h"
 #include "figwell/serving/permits.h"
--- a/libs/telemetry/include/figwell/telemetry.h
+++ b/libs/telemetry/include/figwell/telemetry.h
@@ -44,6 +44,7 @@
   kWatchSilent = 1104,
   kStoreRestored = 1105,
   kSecretAdded = 1106,
+  kEraComplete = 1107,
   kConfigRejected = 1203,
   kConfigInForce = 1204,
   kPatchAccepted = 1205,
--- a/libs/telemetry/src/event_catalogue.cc
+++ b/libs/telemetry/src/event_catalogue.cc
@@ -21,6 +21,7 @@
     EventInfo{Event::kWatchSilent, "watch_silent", Level::kWarning},
     EventInfo{Event::kStoreRestored, "store_restored", Level::kWarning},
     EventInfo{Event::kSecretAdded, "secret_added", Level::kWarning},
+    EventInfo{Event::kEraComplete, "era_complete", Level::kInfo},
     EventInfo{Event::kConfigRejected, "config_rejected", Level::kError},
     EventInfo{Event::kConfigInForce, "config_in_force", Level::kInfo},
     EventInfo{Event::kPatchAccepted, "patch_accepted", Level::kInfo},
--- a/libs/telemetry/src/metric_catalogue.cc
+++ b/libs/telemetry/src/metric_catalogue.cc
@@ -59,6 +59,9 @@
     MetricInfo{"figwell_streams_taken_up_total", "counter",
                "Streams that callers took up, by whether the version that "
                "began them is known"},
+    MetricInfo{"figwell_streams_held_total", "counter",
+               "Taken-up streams that waited until the store was complete "
+               "after a restore"},
     MetricInfo{"figwell_evacuation_changes_total", "counter",
                "Evacuations of failure domains that began or ended, by change"},
     MetricInfo{"figwell_pace_changes_total", "counter",
