Keep room for late orders to starts of servers that were never seen

Cause: room for orders of others was kept only for servers that the process had seen start again. One that it sees for the first time was taken for one without an earlier start, although the process had followed the registry for less time than an order may be late.

Change: KnownPast also says when another process may last have sent an order to an unknown earlier start, from a gap in the view of the registry and from the server's stated start. Not where no instance had led before (the era in which one led is recorded for stores without eras too), nor where a server holds more than it was ordered, since servers start again empty.

--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -106,6 +106,7 @@
                                     MonotonicNow() + server->cold_remaining};
     return PackServer(*server);
   };
+  callbacks.on_gap = [this] { state_.past.OnRegistryGap(MonotonicNow()); };
   callbacks.on_changes =
       [this](const std::vector<serving::LoggedEntry>& entries) {
         OnServerEntries(entries);
@@ -127,6 +128,7 @@
   callbacks.encode = [](const store::KeyValue& item) {
     return std::optional(item.value);
   };
+  callbacks.on_gap = [] {};
   callbacks.on_changes =
       [this](const std::vector<serving::LoggedEntry>& entries) {
         OnInstanceEntries(entries);
@@ -405,6 +407,9 @@
   if (changed) {
     placement_.OnLeaderRecord(leader_record_);
   }
+  if (first) {
+    placement_.OnRecordsListed();
+  }
   peers_.SetRegistered(instances_);
   if (first) {
     past_.OnRecordsListed();
--- a/apps/edge/placement_driver.cc
+++ b/apps/edge/placement_driver.cc
@@ -45,6 +45,19 @@
 // Demand that a request for an adapter counts as, in requests per second.
 constexpr double kAdapterRequestDemandPerSecond = 1.0;
 
+// How long ago the server started, by the time of day; nullopt if it states no
+// time in the past.
+std::optional<Duration> AgeOf(const serving::BackendServer& server) {
+  const std::int64_t now_ms =
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count();
+  if (server.started_ms <= 0 || server.started_ms > now_ms) {
+    return std::nullopt;
+  }
+  return milliseconds(now_ms - server.started_ms);
+}
+
 }  // namespace
 
 PlacementDriver::PlacementDriver(State& state, adapter::StoreClient& store,
@@ -160,7 +173,7 @@
 
 void PlacementDriver::OnLeaderRecord(
     const std::optional<store::KeyValue>& record) {
-  lease_.SetLedSinceRestore(IsEraRecorded());
+  UpdateLedSinceRestore();
   lease_.OnLeaderRecord(MonotonicNow(), record);
   leader_.reset();
   if (record) {
@@ -172,14 +185,29 @@
   return led_in_era_ == store_.era();
 }
 
+void PlacementDriver::UpdateLedSinceRestore() {
+  // A store that states no era is not restored.
+  lease_.SetLedSinceRestore(store_.era() == 0 || IsEraRecorded());
+}
+
 void PlacementDriver::OnEraRecord(const std::string& record) {
-  led_in_era_ = ParseInteger(record).value_or(0);
-  lease_.SetLedSinceRestore(IsEraRecorded());
+  led_in_era_.reset();
+  if (const auto era = ParseInteger(record)) {
+    led_in_era_ = *era;
+  }
+  UpdateLedSinceRestore();
+}
+
+void PlacementDriver::OnRecordsListed() {
+  if (!leader_ && !led_in_era_) {
+    state_.past.OnNoOrdersBefore(MonotonicNow());
+    order_tracker_.ForgetSuspectedLoads();
+  }
 }
 
 void PlacementDriver::OnNewEra() {
   lease_.OnNewEra(MonotonicNow());
-  lease_.SetLedSinceRestore(IsEraRecorded());
+  UpdateLedSinceRestore();
 }
 
 void PlacementDriver::UpdateLeadership(TimePoint now) {
@@ -197,7 +225,9 @@
   telemetry::Log(Event::kLeaseAcquired,
                  "now the placement leader; sends orders to servers",
                  {{"fence", std::to_string(lease_.fence())},
-                  {"succeeds", lease_.TookOver() ? "own_machine" : ""}});
+                  {"succeeds", lease_.TookOver() ? "own_machine" : ""},
+                  {"late_loads_possible",
+                   std::to_string(order_tracker_.ServersWithLateLoads(now))}});
   leads_since_ = now;
   order_tracker_.Clear();
   pending_unloads_.clear();
@@ -278,12 +308,25 @@
     order_tracker_.RemoveServer(server);
     pending_unloads_.erase(server);
   }
-  const TimePoint now = MonotonicNow();
+  ExpectLateLoad(MonotonicNow(), server, change);
+}
+
+void PlacementDriver::ExpectLateLoad(TimePoint now, const ServerId& server,
+                                     serving::ServerChange change) {
   const bool sent_all_orders =
       was_leading_ &&
       now - leads_since_ >= serving::OrderTracker::kMaxOrderDelay;
-  if (change == serving::ServerChange::kRestarted && !sent_all_orders) {
+  const serving::BackendServer* entry = state_.directory.Find(server);
+  if (sent_all_orders || entry == nullptr) {
+    return;
+  }
+  if (change == serving::ServerChange::kRestarted) {
     order_tracker_.ExpectLateLoad(now, server);
+  } else if (change == serving::ServerChange::kAppeared) {
+    if (const auto sent_at =
+            state_.past.LatestUnknownOrder(now, AgeOf(*entry))) {
+      order_tracker_.SuspectLateLoad(now, server, *sent_at);
+    }
   }
 }
 
--- a/apps/edge/placement_driver.h
+++ b/apps/edge/placement_driver.h
@@ -33,6 +33,8 @@
   void OnLeaderRecord(const std::optional<store::KeyValue>& record);
   /** The record of the era in which an instance has led; empty if removed. */
   void OnEraRecord(const std::string& record);
+  /** All records of the store have been read once. */
+  void OnRecordsListed();
   void OnDemand(const InstanceId& from, const DemandMessage& message);
   void OnAdapterRequest(const AdapterRequestMessage& message);
   void OnServerChange(const ServerId& server, serving::ServerChange change);
@@ -66,10 +68,14 @@
   void Execute(const serving::AcquireKey& action);
   void Execute(const serving::ReadKey& action);
   void OnNewEra();
-  /** Whether an instance is known to have led in the store's era. */
+  /** Whether an instance is recorded to have led in the store's era. */
   bool IsEraRecorded() const;
+  void UpdateLedSinceRestore();
   void UpdateLeadership(TimePoint now);
 
+  /** Keeps room for orders of others to a former start of the server. */
+  void ExpectLateLoad(TimePoint now, const ServerId& server,
+                      serving::ServerChange change);
   void ReadReports(TimePoint now, const ServiceId& service);
   void ReadReport(const serving::BackendServer& server);
   void Plan(TimePoint now, const serving::ServiceSpec& service);
@@ -103,7 +109,7 @@
   bool was_leading_ = false;
   TimePoint leads_since_;
   std::optional<InstanceId> leader_;
-  store::Era led_in_era_ = 0;  ///< as recorded in the store
+  std::optional<store::Era> led_in_era_;  ///< as recorded in the store
 
   serving::OrderTracker order_tracker_;
   serving::DemandForecast forecast_;
--- a/apps/edge/shared_view.cc
+++ b/apps/edge/shared_view.cc
@@ -63,6 +63,7 @@
   for (const store::KeyValue& item : listing.items) {
     entries.push_back(ToEntry(item));
   }
+  callbacks_.on_gap();
   callbacks_.on_changes(log_.Replace(entries, listing.revision));
 }
 
@@ -146,6 +147,7 @@
     last_request_ = MonotonicNow();  // the other parts are still in flight
   }
   if (!changes.empty()) {
+    callbacks_.on_gap();
     callbacks_.on_changes(changes);
   }
   if (max_peer_revision_ <= log_.newest()) {
--- a/apps/edge/shared_view.h
+++ b/apps/edge/shared_view.h
@@ -14,6 +14,11 @@
 struct SharedViewCallbacks {
   /** The value as instances share it; nullopt if the item is invalid. */
   std::function<std::optional<std::string>(const store::KeyValue&)> encode;
+  /**
+   * Entries follow that did not come as single events from the store: changes
+   * before them may be missing.
+   */
+  std::function<void()> on_gap;
   /** Entries that are new here, from the store or from a peer. */
   std::function<void(const std::vector<serving::LoggedEntry>&)> on_changes;
   /** The store became unreachable, or is reachable again. */
--- a/libs/serving/include/figwell/serving/known_past.h
+++ b/libs/serving/include/figwell/serving/known_past.h
@@ -14,10 +14,13 @@
 
 /**
  * What this process knows of the time before now. The registry and the store
- * show what exists when they are read, not what existed before: after a restore
- * the store lacks what was written since its copy was made, until the writers
- * that are alive have written it again. An instance that knows that this has
- * happened records the era; later processes rely on it.
+ * show what exists when they are read, not what existed before:
+ *
+ * - A server that appears may have had an earlier start under its id, unless
+ *   this process has seen every change of the registry since.
+ * - After a restore the store lacks what was written since its copy was made,
+ *   until the writers that are alive have written it again. An instance that
+ *   knows that this has happened records the era; later processes rely on it.
  */
 class KnownPast {
  public:
@@ -27,6 +30,24 @@
    */
   static constexpr Duration kRewriteTime =
       kLapsedEntryGrace + std::chrono::milliseconds(500);
+  /**
+   * Bound on the difference between the time of day of this machine and that of
+   * a server; either may jump by seconds.
+   */
+  static constexpr Duration kMaxClockError = std::chrono::seconds(5);
+
+  /** Changes of the registry before `now` may never have been seen here. */
+  void OnRegistryGap(TimePoint now) { registry_known_since_ = now; }
+  /** No instance had sent orders before `now`. */
+  void OnNoOrdersBefore(TimePoint now) { no_orders_before_ = now; }
+  /**
+   * The latest time at which another process may have sent an order to an
+   * earlier start, unknown here, of a server that has appeared; nullopt: never.
+   * @param age how long ago the server started, by the time of day; nullopt if
+   *   it does not state that
+   */
+  std::optional<TimePoint> LatestUnknownOrder(
+      TimePoint now, std::optional<Duration> age) const;
 
   /** The store is known to be in this era. */
   void OnEra(TimePoint now, store::Era era);
@@ -40,6 +61,8 @@
   bool IsStoreComplete(TimePoint now) const;
 
  private:
+  std::optional<TimePoint> registry_known_since_;
+  std::optional<TimePoint> no_orders_before_;
   std::optional<store::Era> era_;
   TimePoint era_known_since_;
   std::optional<store::Era> recorded_era_;
--- a/libs/serving/include/figwell/serving/order_tracker.h
+++ b/libs/serving/include/figwell/serving/order_tracker.h
@@ -103,6 +103,17 @@
    * to its earlier start.
    */
   void ExpectLateLoad(TimePoint now, const ServerId& server);
+  /**
+   * The server may have started again: another process may have sent an order
+   * to an earlier start, at `sent_at` at the latest. A report of more than was
+   * ordered shows that there was none, since servers start again empty.
+   */
+  void SuspectLateLoad(TimePoint now, const ServerId& server,
+                       TimePoint sent_at);
+  /** No process had sent an order before: no suspicion holds. */
+  void ForgetSuspectedLoads();
+  /** Servers at which room is kept for late loads. */
+  int ServersWithLateLoads(TimePoint now) const;
 
   /** Whether the server's report should be requested now. */
   bool NeedsReport(TimePoint now, const ServerId& server) const;
@@ -178,8 +189,16 @@
     Order order;
     TimePoint sent_at;
     bool to_earlier_start = false;
+    /** It is not known whether there was an earlier start. */
+    bool suspected = false;
   };
 
+  static bool IsSuspected(const UnansweredOrder& unanswered) {
+    return unanswered.suspected;
+  }
+  void AddUnknownLoad(TimePoint now, const ServerId& server, TimePoint sent_at,
+                      bool suspected);
+  void DropSuspectedLoads(const ServerId& server);
   void MarkEarlierStart(const ServerId& server);
   /** Loads that the server's current start may execute late. */
   std::vector<ModelTarget> LateLoads(TimePoint now,
--- a/libs/serving/src/order_tracker.cc
+++ b/libs/serving/src/order_tracker.cc
@@ -19,6 +19,15 @@
 constexpr double kUsedRateFraction = 0.95;
 constexpr double kMaxBurstLoads = 3.0;
 
+// Models and adapters that the server holds.
+std::int64_t HeldCount(const HeldModels& models) {
+  std::int64_t count = 0;
+  for (const auto& [model, adapters] : models) {
+    count += 1 + std::ssize(adapters);
+  }
+  return count;
+}
+
 }  // namespace
 
 std::string_view Name(OrderAction action) {
@@ -58,10 +67,41 @@
 }
 
 void OrderTracker::ExpectLateLoad(TimePoint now, const ServerId& server) {
+  DropSuspectedLoads(server);
+  AddUnknownLoad(now, server, now, /*suspected=*/false);
+}
+
+void OrderTracker::SuspectLateLoad(TimePoint now, const ServerId& server,
+                                   TimePoint sent_at) {
+  if (now < sent_at + kMaxOrderDelay) {
+    AddUnknownLoad(now, server, sent_at, /*suspected=*/true);
+  }
+}
+
+void OrderTracker::AddUnknownLoad(TimePoint now, const ServerId& server,
+                                  TimePoint sent_at, bool suspected) {
   DropExpiredOrders(now);
   const Order unknown{
       server, OrderAction::kLoad, {}, std::numeric_limits<std::int64_t>::max()};
-  unanswered_[server].push_back({unknown, now, true});
+  unanswered_[server].push_back({unknown, sent_at, true, suspected});
+}
+
+void OrderTracker::DropSuspectedLoads(const ServerId& server) {
+  if (const auto found = unanswered_.find(server); found != unanswered_.end()) {
+    std::erase_if(found->second, IsSuspected);
+  }
+}
+
+void OrderTracker::ForgetSuspectedLoads() {
+  for (auto& [server, orders] : unanswered_) {
+    std::erase_if(orders, IsSuspected);
+  }
+}
+
+int OrderTracker::ServersWithLateLoads(TimePoint now) const {
+  return static_cast<int>(std::count_if(
+      unanswered_.begin(), unanswered_.end(),
+      [&](const auto& item) { return !LateLoads(now, item.first).empty(); }));
 }
 
 std::vector<ModelTarget> OrderTracker::LateLoads(TimePoint now,
@@ -149,6 +189,9 @@
   if (restarted) {
     MarkEarlierStart(server);
   }
+  if (HeldCount(report.models) > report.accepted) {
+    DropSuspectedLoads(server);
+  }
   const std::optional<ModelId> was_loading = state.view.loading;
   const auto unconfirmed_order =
       std::exchange(state.unconfirmed_order, std::nullopt);
--- a/libs/serving/tests/known_past_test.cc
+++ b/libs/serving/tests/known_past_test.cc
@@ -54,5 +54,34 @@
   CHECK(past.IsStoreComplete(At(61'000) + kRewriteTime));
 }
 
+TEST_CASE("earlier starts are unknown before the registry was followed") {
+  KnownPast past;
+  CHECK(past.LatestUnknownOrder(At(5'000), milliseconds(0)) == At(5'000));
+  past.OnRegistryGap(At(3'000));
+  CHECK(past.LatestUnknownOrder(At(5'000), milliseconds(0)) == At(3'000));
+  CHECK(past.LatestUnknownOrder(At(5'000), std::nullopt) == At(3'000));
+  past.OnRegistryGap(At(4'000));
+  CHECK(past.LatestUnknownOrder(At(5'000), milliseconds(0)) == At(4'000));
+}
+
+TEST_CASE("orders to an earlier start were sent before the current one") {
+  KnownPast past;
+  past.OnRegistryGap(At(100'000));
+  CHECK(past.LatestUnknownOrder(At(100'000), milliseconds(60'000)) ==
+        At(40'000) + KnownPast::kMaxClockError);
+  // The server's time of day is ahead.
+  CHECK(past.LatestUnknownOrder(At(100'000), milliseconds(-60'000)) ==
+        At(100'000));
+}
+
+TEST_CASE("where no instance had led there is no unknown order") {
+  KnownPast past;
+  past.OnRegistryGap(At(3'000));
+  past.OnNoOrdersBefore(At(3'100));
+  CHECK_FALSE(past.LatestUnknownOrder(At(5'000), milliseconds(0)));
+  past.OnRegistryGap(At(9'000));
+  CHECK(past.LatestUnknownOrder(At(9'500), milliseconds(0)) == At(9'000));
+}
+
 }  // namespace
 }  // namespace figwell::serving
--- a/libs/serving/tests/order_tracker_test.cc
+++ b/libs/serving/tests/order_tracker_test.cc
@@ -207,5 +207,46 @@
   CHECK(loads >= 50);
 }
 
+bool KeepsRoom(const OrderTracker& tracker, TimePoint now) {
+  return tracker.StateOf(now, kServer, {}).late_loads ==
+         std::vector<ModelTarget>{ModelTarget{}};
+}
+
+TEST_CASE("room for a suspected load is kept while it may be executed") {
+  OrderTracker tracker;
+  tracker.SuspectLateLoad(At(20'000), kServer, At(10'000));
+  CHECK(KeepsRoom(tracker, At(20'000)));
+  CHECK(tracker.ServersWithLateLoads(At(20'000)) == 1);
+  const TimePoint end = At(10'000) + OrderTracker::kMaxOrderDelay;
+  CHECK(KeepsRoom(tracker, end - Duration(1)));
+  CHECK_FALSE(KeepsRoom(tracker, end));
+  CHECK(tracker.ServersWithLateLoads(end) == 0);
+}
+
+TEST_CASE("a server that holds more than was ordered had no earlier start") {
+  OrderTracker tracker;
+  tracker.SuspectLateLoad(At(0), kServer, At(0));
+  tracker.OnReport(At(600), kServer, MakeReport(1));
+  CHECK(KeepsRoom(tracker, At(600)));
+  tracker.OnReport(At(1'200), kServer, MakeReport(0));
+  CHECK_FALSE(KeepsRoom(tracker, At(1'200)));
+}
+
+TEST_CASE("a known restart leaves no doubt, whatever the server holds") {
+  OrderTracker tracker;
+  tracker.SuspectLateLoad(At(0), kServer, At(0));
+  tracker.ExpectLateLoad(At(100), kServer);
+  tracker.OnReport(At(600), kServer, MakeReport(0));
+  tracker.ForgetSuspectedLoads();
+  CHECK(KeepsRoom(tracker, At(600)));
+}
+
+TEST_CASE("without orders before, suspected loads are forgotten") {
+  OrderTracker tracker;
+  tracker.SuspectLateLoad(At(0), kServer, At(0));
+  tracker.ForgetSuspectedLoads();
+  CHECK_FALSE(KeepsRoom(tracker, At(0)));
+}
+
 }  // namespace
 }  // namespace figwell::serving
--- a/libs/serving/tests/restarted_server_test.cc
+++ b/libs/serving/tests/restarted_server_test.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "figwell/serving/known_past.h"
 #include "figwell/serving/order_tracker.h"
 #include "figwell/serving/replicas.h"
 #include "figwell/testing.h"
@@ -32,6 +33,7 @@
   HeldModels models;
   OrderExecution execution{kLoadTime};
   std::vector<LateOrder> late_orders;
+  TimePoint started_at;
   std::optional<TimePoint> down_until;
   bool overfilled = false;
 
@@ -62,12 +64,18 @@
   }
 };
 
+/** What happens to the process that leads. */
+enum class LeaderFault {
+  kNone,
+  kSucceeded,  ///< another process leads from time to time
+  kRestarted,  ///< it is killed, starts again and leads at once
+};
+
 class Simulation {
  public:
-  /** @param leader_changes whether another process leads from time to time */
-  Simulation(std::uint64_t seed, bool leader_changes)
+  Simulation(std::uint64_t seed, LeaderFault leader_fault)
       : random_(seed),
-        leader_changes_(leader_changes),
+        leader_fault_(leader_fault),
         engine_(MakeEngineSpec(kModels, kModelMb, kSlots, kLoadTime)) {
     for (int i = 0; i < kServers; ++i) {
       // Full without any order, unlike after a restart: late orders meet
@@ -86,11 +94,8 @@
         engine.Advance(now_);
         CrashOrRestart(id, engine);
       }
-      if (leader_changes_ && random_.Unit() < 0.005) {
-        leader_ = 1 - leader_;
-        leads_since_ = now_;
-        Leader().Clear();
-        orders_.DropResponses();
+      if (leader_fault_ != LeaderFault::kNone && random_.Unit() < 0.005) {
+        ChangeLeader();
       }
       orders_.DeliverResponses(now_, Leader());
       ReadReports();
@@ -104,6 +109,33 @@
  private:
   OrderTracker& Leader() { return trackers_[leader_]; }
 
+  void ChangeLeader() {
+    leads_since_ = now_;
+    orders_.DropResponses();
+    if (leader_fault_ == LeaderFault::kSucceeded) {
+      leader_ = 1 - leader_;
+      Leader().Clear();
+      return;
+    }
+    Leader() = OrderTracker();
+    past_ = KnownPast();
+    past_.OnRegistryGap(now_);
+    for (const auto& [id, engine] : engines_) {
+      if (!engine.down_until) {
+        OnAppeared(id, engine);
+      }
+    }
+  }
+
+  /** The leader did not know the server. */
+  void OnAppeared(const ServerId& id, const Engine& engine) {
+    known_[id] = leads_since_;
+    if (const auto sent_at =
+            past_.LatestUnknownOrder(now_, now_ - engine.started_at)) {
+      Leader().SuspectLateLoad(now_, id, *sent_at);
+    }
+  }
+
   void CrashOrRestart(const ServerId& id, Engine& engine) {
     if (!engine.down_until && random_.Unit() < 0.006) {
       engine.Crash(now_, milliseconds(200 + random_.Below(2'000)));
@@ -112,12 +144,22 @@
       }
     } else if (engine.down_until && now_ >= *engine.down_until) {
       engine.down_until.reset();
-      for (std::size_t i = 0; i < trackers_.size(); ++i) {
-        const bool sent_all_orders =
-            i == leader_ && now_ - leads_since_ >= OrderTracker::kMaxOrderDelay;
-        if (leader_changes_ && !sent_all_orders) {
-          trackers_[i].ExpectLateLoad(now_, id);
-        }
+      engine.started_at = now_;
+      OnRestarted(id, engine);
+    }
+  }
+
+  void OnRestarted(const ServerId& id, const Engine& engine) {
+    if (leader_fault_ == LeaderFault::kRestarted &&
+        known_[id] != leads_since_) {
+      OnAppeared(id, engine);
+      return;
+    }
+    for (std::size_t i = 0; i < trackers_.size(); ++i) {
+      const bool sent_all_orders =
+          i == leader_ && now_ - leads_since_ >= OrderTracker::kMaxOrderDelay;
+      if (leader_fault_ != LeaderFault::kNone && !sent_all_orders) {
+        trackers_[i].ExpectLateLoad(now_, id);
       }
     }
   }
@@ -168,26 +210,30 @@
   }
 
   Random random_;
-  bool leader_changes_;
+  LeaderFault leader_fault_;
   EngineSpec engine_;
   TimePoint now_;
   std::map<ServerId, Engine> engines_;
   std::array<OrderTracker, 2> trackers_;
   std::size_t leader_ = 0;
   TimePoint leads_since_;
+  KnownPast past_;
+  /** Since which term the leader knows each server. */
+  std::map<ServerId, TimePoint> known_;
   PlayedOrders orders_{kLoadTime};
   int loads_ = 0;
 };
 
 TEST_CASE("a late order to a server's earlier start never overfills it") {
-  for (const bool leader_changes : {false, true}) {
+  for (const LeaderFault leader_fault :
+       {LeaderFault::kNone, LeaderFault::kSucceeded, LeaderFault::kRestarted}) {
     int overfilled = 0;
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
-      Simulation simulation(seed, leader_changes);
+      Simulation simulation(seed, leader_fault);
       overfilled += simulation.Overfills() ? 1 : 0;
       CHECK(simulation.loads() > 20);
     }
-    INFO("leader changes: " << leader_changes);
+    INFO("leader fault: " << static_cast<int>(leader_fault));
     CHECK(overfilled == 0);
   }
 }
