Order no server whose report is of another start than its registry entry

Cause: a report with fewer accepted orders than expected was the only sign of a restart before the registry has it. A process that has just become the leader has nothing to compare with, and could order the new start before it knew that orders to the start before may be under way.

Change: reports state their start; one of another start than the registry entry is not used and is requested again.

--- a/apps/edge/placement_driver.cc
+++ b/apps/edge/placement_driver.cc
@@ -58,6 +58,20 @@
   return milliseconds(now_ms - server.started_ms);
 }
 
+Result<serving::EngineReport> ReportOfStart(
+    std::int64_t started_ms,
+    const tl::expected<http::Response, http::ClientError>& response) {
+  if (!response) {
+    return Fail(ErrorCode::kUnavailable, response.error().message);
+  }
+  auto report = adapter::DecodeReport(*response);
+  if (report && !report->IsOfStart(started_ms)) {
+    return Fail(ErrorCode::kUnavailable,
+                "the report is of another start than the registry entry");
+  }
+  return report;
+}
+
 }  // namespace
 
 PlacementDriver::PlacementDriver(State& state, adapter::StoreClient& store,
@@ -358,10 +372,7 @@
         if (response) {
           ApplyServerState(state_, {id, started_ms, sent, {}}, *response);
         }
-        const auto report =
-            response ? adapter::DecodeReport(*response)
-                     : Result<serving::EngineReport>(Fail(
-                           ErrorCode::kUnavailable, response.error().message));
+        const auto report = ReportOfStart(started_ms, response);
         if (!report) {
           const bool body_failed =
               !response && response.error().stage == http::Stage::kBody;
--- a/libs/serving/include/figwell/serving/order_tracker.h
+++ b/libs/serving/include/figwell/serving/order_tracker.h
@@ -58,6 +58,17 @@
   std::set<ModelId> local_weights;
   std::int64_t accepted = 0;  ///< orders accepted since its start
   bool busy = false;          ///< executes an order for a model
+  /** BackendServer::started_ms; 0 if the report does not state it. */
+  std::int64_t started_ms = 0;
+
+  /**
+   * Whether the report can be of the start with this registry entry. Until the
+   * registry has the start that a report is of, orders to the start before may
+   * be under way that nobody here expects.
+   */
+  bool IsOfStart(std::int64_t registered_ms) const {
+    return started_ms == 0 || started_ms == registered_ms;
+  }
 
   friend bool operator==(const EngineReport&, const EngineReport&) = default;
 };
--- a/libs/serving/tests/order_tracker_test.cc
+++ b/libs/serving/tests/order_tracker_test.cc
@@ -241,6 +241,14 @@
   CHECK(KeepsRoom(tracker, At(600)));
 }
 
+TEST_CASE("a report is of the registered start unless it states another") {
+  EngineReport report = MakeReport(0);
+  CHECK(report.IsOfStart(1'700));
+  report.started_ms = 1'700;
+  CHECK(report.IsOfStart(1'700));
+  CHECK_FALSE(report.IsOfStart(1'600));
+}
+
 TEST_CASE("without orders before, suspected loads are forgotten") {
   OrderTracker tracker;
   tracker.SuspectLateLoad(At(0), kServer, At(0));
