Treat an answer with an invalid status as no answer

Cause: http::Call took any message that the parser accepts for an answer, and the parser accepts any three digits.

Change: a status outside of 100 to 599 fails the call while the head is read, for all users of the client.

--- a/libs/http/src/call.cc
+++ b/libs/http/src/call.cc
@@ -31,6 +31,10 @@
 // the time it sent its last byte, the client from when it received that byte.
 constexpr std::chrono::milliseconds kKeepAliveTimeoutMargin{700};
 
+// RFC 9110, section 15: a status outside of this range is invalid.
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+
 // Limits on what a server may send before the awaited answer: interim (1xx)
 // answers, and late copies of answers to earlier requests on the connection.
 constexpr int kMaxSkippedHeads = 16;
@@ -182,6 +186,10 @@
   }
   const auto& message = parser_->get();
   const int status = static_cast<int>(message.result_int());
+  if (status < kMinStatus || status > kMaxStatus) {
+    Fail(Stage::kHead, {}, "the answer has an invalid status");
+    return;
+  }
   if (status / 100 == 1) {
     ReadNextHead();
     return;
--- a/libs/http/tests/exchange_test.cc
+++ b/libs/http/tests/exchange_test.cc
@@ -289,6 +289,31 @@
   CHECK(outcome->error().stage == Stage::kHead);
 }
 
+TEST_CASE("a message with an invalid status is no answer") {
+  for (const std::string status : {"000", "099", "600", "999"}) {
+    CAPTURE(status);
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    const std::string address = FormatEndpoint(acceptor.local_endpoint());
+    std::shared_ptr<tcp::socket> served;
+    acceptor.async_accept([&](boost::system::error_code, tcp::socket socket) {
+      served = std::make_shared<tcp::socket>(std::move(socket));
+      asio::write(*served, asio::buffer("HTTP/1.1 " + status +
+                                        " No\r\nContent-Length: 2\r\n\r\nhi"));
+    });
+    Client client(context, {});
+    std::optional<tl::expected<Response, ClientError>> outcome;
+    client.Fetch(address, Post("x"), {},
+                 [&](auto result) { outcome = std::move(result); });
+    while (!outcome) {
+      context.run_one();
+    }
+    REQUIRE_FALSE(*outcome);
+    CHECK(outcome->error().stage == Stage::kHead);
+    CHECK(client.idle_connections() == 0);
+  }
+}
+
 TEST_CASE("an aborted stream reaches the client as an error") {
   Loopback loopback({}, [](const ExchangePtr& exchange) {
     exchange->StartStream(200, {});
