Wait also if the search for a stream's version shows a restore

Cause: a search that began while the store's era was complete concluded from the servers that it then read, although an answer had meanwhile shown that the store was restored: an instance that stood still over a restore reads its first answer of the new era in the search.

Change: the search looks at the era again after the read, and waits like those that begin then.

Evidence: versions_test.cc, "a stream also waits if the search shows that the store was restored": 2 of 5 checks failed before, none now. A trial over processes (an instance stopped over release and restore) did not show the fault: buffered news of the release came first.

--- a/apps/edge/version_driver.cc
+++ b/apps/edge/version_driver.cc
@@ -146,6 +146,12 @@
       [this, searches = std::exchange(searches_, {})](bool caught_up) {
         catching_up_ = false;
         const TimePoint now = MonotonicNow();
+        if (!state_.past.IsStoreComplete(now)) {
+          // An answer meanwhile has shown that the store was restored.
+          searches_.insert(searches_.end(), searches.begin(), searches.end());
+          CatchUp();
+          return;
+        }
         for (const Search& search : searches) {
           search.on_found(caught_up ? state_.stream_versions.Find(
                                           now, search.service, search.stream)
