Close idle connections to servers without a call to their address

Cause: IdlePool closed idle connections only in calls to their address, and bounded them for each address only. Addresses of servers that are gone are never called again.

Change: the pool looks every 2 s for connections whose time is over or that their servers closed, while it has any. All idle connections together have a bound, a tenth of the process's limit of descriptors, and the one that has been idle longest goes first. Callers get four tenths at most, so that requests in progress leave a tenth for the store, peers and files.

--- /dev/null
+++ b/apps/edge/descriptors.cc
@@ -0,0 +1,33 @@
+#include "descriptors.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+
+namespace figwell::edge {
+namespace {
+
+constexpr std::size_t kMaxCallerConnections = 2'500;
+constexpr std::size_t kMaxIdleServerConnections = 4'096;
+constexpr std::size_t kCallerTenths = 4;
+constexpr std::size_t kIdleTenths = 1;
+// If the limit cannot be read; usual for processes.
+constexpr std::size_t kDefaultLimit = 1'024;
+
+}  // namespace
+
+DescriptorShares ShareDescriptors(std::size_t limit) {
+  const std::size_t tenth = limit / 10;
+  return {std::min(kMaxCallerConnections, tenth * kCallerTenths),
+          std::min(kMaxIdleServerConnections, tenth * kIdleTenths)};
+}
+
+std::size_t DescriptorLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return kDefaultLimit;
+  }
+  return static_cast<std::size_t>(limit.rlim_cur);
+}
+
+}  // namespace figwell::edge
--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -4,6 +4,8 @@
 
 #include <csignal>
 
+#include "descriptors.h"
+
 namespace figwell::edge {
 namespace {
 
@@ -41,7 +43,6 @@
 constexpr milliseconds kIdleServerTimeout{20'000};
 constexpr milliseconds kIdleStoreTimeout{30'000};
 constexpr milliseconds kCallerWriteTimeout{5'000};
-constexpr std::size_t kMaxCallerConnections = 2'500;
 
 http::ClientLimits StoreLimits() {
   http::ClientLimits limits;
@@ -55,6 +56,8 @@
   http::ClientLimits limits;
   limits.connect_timeout = kServerConnectTimeout;
   limits.idle_connections_per_address = kMaxIdleConnectionsPerServer;
+  limits.idle_connections =
+      ShareDescriptors(DescriptorLimit()).idle_server_connections;
   limits.idle_timeout = kIdleServerTimeout;
   limits.peer_timeout = kServerAckTimeout;
   return limits;
@@ -81,7 +84,7 @@
   http::ServerLimits limits;
   limits.header_bytes = configured.head_bytes * kEnforcedLimitFactor;
   limits.body_bytes = configured.body_bytes * kEnforcedLimitFactor;
-  limits.connections = kMaxCallerConnections;
+  limits.connections = ShareDescriptors(DescriptorLimit()).caller_connections;
   limits.header_timeout = configured.head_timeout * kEnforcedLimitFactor;
   // Callers reuse connections that were idle for only a fraction of this time.
   limits.idle_timeout = configured.idle_timeout * kEnforcedLimitFactor;
--- a/libs/http/include/figwell/http.h
+++ b/libs/http/include/figwell/http.h
@@ -273,6 +273,8 @@
 struct ClientLimits {
   std::size_t header_bytes = 16'384;
   std::size_t idle_connections_per_address = 64;
+  /** Over all addresses; the one that has been idle longest is closed first. */
+  std::size_t idle_connections = 4'096;
   std::chrono::milliseconds connect_timeout{1'000};
   std::chrono::milliseconds write_timeout{10'000};
   std::chrono::milliseconds idle_timeout{30'000};
--- a/libs/http/src/call.h
+++ b/libs/http/src/call.h
@@ -17,10 +17,17 @@
 
 using Stream = boost::beast::tcp_stream;
 
-/** The idle pool: connections to backends that wait for their next call. */
-class IdlePool {
+/**
+ * The idle pool: connections to backends that wait for their next call. Those
+ * that cannot be used again are closed also if nothing calls their address.
+ */
+class IdlePool : public std::enable_shared_from_this<IdlePool> {
  public:
-  explicit IdlePool(ClientLimits limits) : limits_(limits) {}
+  /** How often the pool looks for connections to close. */
+  static constexpr std::chrono::milliseconds kSweepInterval{2'000};
+
+  IdlePool(boost::asio::io_context& context, ClientLimits limits)
+      : limits_(limits), sweep_timer_(context) {}
 
   using Clock = std::chrono::steady_clock;
 
@@ -48,8 +55,12 @@
    */
   void Release(const std::string& address, std::unique_ptr<Stream> stream,
                std::optional<std::chrono::milliseconds> lifetime);
-  std::size_t size() const;
+  std::size_t size() const { return size_; }
   const ClientLimits& limits() const { return limits_; }
+  /** Closes the connection that has been idle longest. @return if any */
+  bool CloseOldest();
+  /** Closes all connections and looks for none any more. */
+  void Clear();
 
  private:
   struct IdleConnection {
@@ -59,9 +70,17 @@
   };
 
   Clock::duration MaxIdleTime(Clock::time_point now) const;
+  /** Sweeps after the interval if there are connections then. */
+  void ScheduleSweep();
+  /** Closes connections whose time is over or that their servers closed. */
+  void Sweep();
 
   ClientLimits limits_;
+  boost::asio::steady_timer sweep_timer_;
+  bool sweep_scheduled_ = false;
+  /** By address, those that became idle first at the front. */
   std::map<std::string, std::vector<IdleConnection>> idle_;
+  std::size_t size_ = 0;
   /** The limit that RecordDropped set last, and when it did. */
   std::optional<Clock::duration> max_idle_time_;
   Clock::time_point max_idle_time_set_at_;
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -8,7 +8,8 @@
 
 struct Client::State : std::enable_shared_from_this<Client::State> {
   State(asio::io_context& io_context, ClientLimits limits)
-      : context(io_context), pool(std::make_shared<IdlePool>(limits)) {}
+      : context(io_context),
+        pool(std::make_shared<IdlePool>(io_context, limits)) {}
 
   asio::io_context& context;
   std::shared_ptr<IdlePool> pool;
@@ -24,6 +25,7 @@
     call->Cancel();
   }
   state_->calls.clear();
+  state_->pool->Clear();
 }
 
 CallId Client::Send(const std::string& address, const Request& request,
--- a/libs/http/src/idle_pool.cc
+++ b/libs/http/src/idle_pool.cc
@@ -42,18 +42,27 @@
 }
 
 IdlePool::PooledConnection IdlePool::Acquire(const std::string& address) {
-  auto& connections = idle_[address];
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) {
+    return {};
+  }
+  auto& connections = found->second;
   const auto now = Clock::now();
   const auto max_idle_time = MaxIdleTime(now);
-  while (!connections.empty()) {
+  PooledConnection usable;
+  while (!connections.empty() && !usable.stream) {
     IdleConnection idle = std::move(connections.back());
     connections.pop_back();
+    --size_;
     if (now < idle.usable_until && now - idle.idle_since < max_idle_time &&
         IsOpenWithoutInput(*idle.stream)) {
-      return {std::move(idle.stream), now - idle.idle_since};
+      usable = {std::move(idle.stream), now - idle.idle_since};
     }
   }
-  return {};
+  if (connections.empty()) {
+    idle_.erase(found);
+  }
+  return usable;
 }
 
 void IdlePool::RecordDropped(Clock::duration idle_time) {
@@ -73,20 +82,72 @@
   }
   const auto now = Clock::now();
   auto& connections = idle_[address];
-  std::erase_if(connections, [&](const IdleConnection& idle) {
+  size_ -= std::erase_if(connections, [&](const IdleConnection& idle) {
     return idle.usable_until <= now;
   });
   if (connections.size() < limits_.idle_connections_per_address) {
     connections.push_back({std::move(stream), now, now + reuse_period});
+    ++size_;
+  }
+  if (connections.empty()) {
+    idle_.erase(address);
+  }
+  while (size_ > limits_.idle_connections && CloseOldest()) {
+  }
+  ScheduleSweep();
+}
+
+bool IdlePool::CloseOldest() {
+  const auto oldest = std::min_element(
+      idle_.begin(), idle_.end(), [](const auto& a, const auto& b) {
+        return a.second.front().idle_since < b.second.front().idle_since;
+      });
+  if (oldest == idle_.end()) {
+    return false;
+  }
+  oldest->second.erase(oldest->second.begin());
+  --size_;
+  if (oldest->second.empty()) {
+    idle_.erase(oldest);
   }
+  return true;
 }
 
-std::size_t IdlePool::size() const {
-  std::size_t total = 0;
-  for (const auto& [address, connections] : idle_) {
-    total += connections.size();
+void IdlePool::Clear() {
+  idle_.clear();
+  size_ = 0;
+  sweep_timer_.cancel();
+}
+
+void IdlePool::ScheduleSweep() {
+  if (sweep_scheduled_ || size_ == 0) {
+    return;
+  }
+  sweep_scheduled_ = true;
+  sweep_timer_.expires_after(kSweepInterval);
+  sweep_timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        if (const auto self = weak.lock(); self && !error) {
+          self->Sweep();
+        }
+      });
+}
+
+void IdlePool::Sweep() {
+  sweep_scheduled_ = false;
+  const auto now = Clock::now();
+  const auto max_idle_time = MaxIdleTime(now);
+  const auto is_useless = [&](const IdleConnection& idle) {
+    const auto idle_time = now - idle.idle_since;
+    // One in regular use is looked at when it is used.
+    return now >= idle.usable_until || idle_time >= max_idle_time ||
+           (idle_time >= kSweepInterval && !IsOpenWithoutInput(*idle.stream));
+  };
+  for (auto& [address, connections] : idle_) {
+    size_ -= std::erase_if(connections, is_useless);
   }
-  return total;
+  std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
+  ScheduleSweep();
 }
 
 }  // namespace figwell::http
