Say so when no descriptor is left, and leave some for all else

Cause: a failure to accept or to connect for lack of descriptors was retried without a log line or a counter, and readiness did not depend on it. Refused callers that do not close kept their descriptors.

Change: a call without a descriptor closes the oldest idle connection and tries again. If none is left, or a connection could not be accepted, the instance is not ready until a second after the last failure, and logs and counts it. Callers get 35% of the limit, an eighth of that more are refused with an answer, further ones are closed at once.

--- a/apps/edge/descriptors.cc
+++ b/apps/edge/descriptors.cc
@@ -9,17 +9,16 @@
 
 constexpr std::size_t kMaxCallerConnections = 2'500;
 constexpr std::size_t kMaxIdleServerConnections = 4'096;
-constexpr std::size_t kCallerTenths = 4;
-constexpr std::size_t kIdleTenths = 1;
+constexpr std::size_t kCallerPercent = 35;
+constexpr std::size_t kIdlePercent = 10;
 // If the limit cannot be read; usual for processes.
 constexpr std::size_t kDefaultLimit = 1'024;
 
 }  // namespace
 
 DescriptorShares ShareDescriptors(std::size_t limit) {
-  const std::size_t tenth = limit / 10;
-  return {std::min(kMaxCallerConnections, tenth * kCallerTenths),
-          std::min(kMaxIdleServerConnections, tenth * kIdleTenths)};
+  return {std::min(kMaxCallerConnections, limit * kCallerPercent / 100),
+          std::min(kMaxIdleServerConnections, limit * kIdlePercent / 100)};
 }
 
 std::size_t DescriptorLimit() {
--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -43,6 +43,10 @@
 constexpr milliseconds kIdleServerTimeout{20'000};
 constexpr milliseconds kIdleStoreTimeout{30'000};
 constexpr milliseconds kCallerWriteTimeout{5'000};
+// An instance is not ready for this long after a descriptor was missing: longer
+// than the pause between attempts to accept a connection.
+constexpr Duration kShortageTime = milliseconds(1'000);
+constexpr Duration kShortageLogInterval = milliseconds(5'000);
 
 http::ClientLimits StoreLimits() {
   http::ClientLimits limits;
@@ -172,6 +176,10 @@
                           telemetry::Label("reason", http::Name(reason)))
                       .Add();
                   return RejectionResponse(reason);
+                },
+                [this](const std::string& error) {
+                  server_http_.CloseOldestIdle();
+                  OnDescriptorShortage("accept", error);
                 }}),
       ready_(context_, {},
              {[this](const http::ExchangePtr& exchange) {
@@ -189,6 +197,14 @@
       settings_timer_(context_),
       stop_timer_(context_),
       follower_selection_(settings.instance) {
+  server_http_.OnShortage([this](const std::string& error) {
+    OnDescriptorShortage("connect", error);
+  });
+  store_http_.OnShortage([this](const std::string& error) {
+    // An idle connection to a server gives its descriptor to the next attempt.
+    server_http_.CloseOldestIdle();
+    OnDescriptorShortage("connect", error);
+  });
   state_.send_interim_status = [this] { SendInterimStatus(); };
   state_.catch_up_with_servers = [this](std::function<void(bool)> on_done) {
     CatchUpWithServers(std::move(on_done));
@@ -277,8 +293,31 @@
 }
 
 bool Edge::Ready() const {
+  const bool has_descriptors =
+      !descriptors_short_at_ ||
+      MonotonicNow() >= *descriptors_short_at_ + kShortageTime;
   return !state_.stopping_since && state_.catalog != nullptr &&
-         servers_view_.listed() && instances_view_.listed();
+         servers_view_.listed() && instances_view_.listed() && has_descriptors;
+}
+
+void Edge::OnDescriptorShortage(std::string_view operation,
+                                const std::string& error) {
+  const TimePoint now = MonotonicNow();
+  descriptors_short_at_ = now;
+  state_.metrics
+      .GetCounter("figwell_descriptor_shortages_total",
+                  telemetry::Label("operation", operation))
+      .Add();
+  if (shortage_logged_at_ &&
+      now < *shortage_logged_at_ + kShortageLogInterval) {
+    return;
+  }
+  shortage_logged_at_ = now;
+  telemetry::Log(Event::kDescriptorsShort, error,
+                 {{"operation", std::string(operation)},
+                  {"limit", std::to_string(DescriptorLimit())},
+                  {"callers", std::to_string(callers_.open_connections())},
+                  {"idle", std::to_string(server_http_.idle_connections())}});
 }
 
 void Edge::OnReadyRequest(const http::ExchangePtr& exchange) {
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -37,6 +37,9 @@
   void OnReadyRequest(const http::ExchangePtr& exchange);
   void OnMetricsRequest(const http::ExchangePtr& exchange);
   bool Ready() const;
+  /** A connection could not be accepted or made for lack of descriptors. */
+  void OnDescriptorShortage(std::string_view operation,
+                            const std::string& error);
   void WaitForSignal();
   void OnSignal(int signal);
   void CheckSettingsFile();
@@ -210,6 +213,8 @@
   TimePoint last_build_announced_;
   TimePoint last_evacuations_announced_;
   bool accepting_ = true;
+  std::optional<TimePoint> descriptors_short_at_;
+  std::optional<TimePoint> shortage_logged_at_;
 };
 
 }  // namespace figwell::edge
--- a/libs/http/include/figwell/http.h
+++ b/libs/http/include/figwell/http.h
@@ -203,6 +203,11 @@
   std::function<void(ExchangePtr)> on_request;
   /** Makes the answer to a refused request; may also count it. */
   std::function<Response(RejectReason)> on_refuse;
+  /**
+   * A connection could not be accepted, for lack of descriptors; it waits and
+   * is tried again. May be null.
+   */
+  std::function<void(const std::string& error)> on_accept_failed = nullptr;
 };
 
 class Server {
@@ -378,6 +383,13 @@
   void Cancel(CallId call);
 
   std::size_t idle_connections() const;
+  /** Closes the connection that has been idle longest. @return if any */
+  bool CloseOldestIdle();
+  /**
+   * `on_shortage` runs when no connection could be made for lack of
+   * descriptors, although no idle one was left to close instead.
+   */
+  void OnShortage(std::function<void(const std::string& error)> on_shortage);
 
  private:
   struct State;
--- a/libs/http/src/call.cc
+++ b/libs/http/src/call.cc
@@ -101,6 +101,14 @@
   stream_->async_connect(*endpoint, [self =
                                          shared_from_this()](ErrorCode error) {
     if (error) {
+      const bool no_descriptors =
+          error == boost::system::errc::too_many_files_open ||
+          error == boost::system::errc::too_many_files_open_in_system;
+      if (no_descriptors && !self->finished_ &&
+          self->pool_->MakeRoom(error.message())) {
+        self->Connect();
+        return;
+      }
       self->Fail(Stage::kConnect, error, "connect failed");
       return;
     }
--- a/libs/http/src/call.h
+++ b/libs/http/src/call.h
@@ -61,6 +61,14 @@
   bool CloseOldest();
   /** Closes all connections and looks for none any more. */
   void Clear();
+  void OnShortage(std::function<void(const std::string&)> on_shortage) {
+    on_shortage_ = std::move(on_shortage);
+  }
+  /**
+   * No descriptor was left for a connection.
+   * @return whether an idle one was closed, so that it may be tried again
+   */
+  bool MakeRoom(const std::string& error);
 
  private:
   struct IdleConnection {
@@ -81,6 +89,7 @@
   /** By address, those that became idle first at the front. */
   std::map<std::string, std::vector<IdleConnection>> idle_;
   std::size_t size_ = 0;
+  std::function<void(const std::string&)> on_shortage_;
   /** The limit that RecordDropped set last, and when it did. */
   std::optional<Clock::duration> max_idle_time_;
   Clock::time_point max_idle_time_set_at_;
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -115,4 +115,10 @@
 
 std::size_t Client::idle_connections() const { return state_->pool->size(); }
 
+bool Client::CloseOldestIdle() { return state_->pool->CloseOldest(); }
+
+void Client::OnShortage(std::function<void(const std::string&)> on_shortage) {
+  state_->pool->OnShortage(std::move(on_shortage));
+}
+
 }  // namespace figwell::http
--- a/libs/http/src/idle_pool.cc
+++ b/libs/http/src/idle_pool.cc
@@ -113,6 +113,16 @@
   return true;
 }
 
+bool IdlePool::MakeRoom(const std::string& error) {
+  if (CloseOldest()) {
+    return true;
+  }
+  if (on_shortage_) {
+    on_shortage_(error);
+  }
+  return false;
+}
+
 void IdlePool::Clear() {
   idle_.clear();
   size_ = 0;
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -11,6 +11,9 @@
 // would spin.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 constexpr int kListenBacklog = 1024;
+// This fraction of the limit of connections may be refused with an answer at a
+// time; callers may keep such connections open for a while. Others are closed.
+constexpr std::size_t kRefusedConnectionsDivisor = 8;
 
 using ReusePort =
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
@@ -65,6 +68,9 @@
     return;
   }
   if (error) {
+    if (shared->handlers.on_accept_failed) {
+      shared->handlers.on_accept_failed(error.message());
+    }
     ScheduleAcceptRetry();
     return;
   }
@@ -73,9 +79,13 @@
 }
 
 void Server::State::StartConnection(asio::ip::tcp::socket socket) {
+  const std::size_t limit = shared->limits.connections;
+  if (shared->open_connections >= limit + limit / kRefusedConnectionsDivisor) {
+    return;
+  }
   const auto connection =
       std::make_shared<Connection>(std::move(socket), shared);
-  if (shared->open_connections > shared->limits.connections) {
+  if (shared->open_connections > limit) {
     connection->RefuseOverLimit();
   } else {
     connection->Start();
--- a/libs/http/tests/idle_pool_test.cc
+++ b/libs/http/tests/idle_pool_test.cc
@@ -24,18 +24,21 @@
 struct Fleet {
   Fleet(ClientLimits limits, std::size_t count) : client(context, limits) {
     for (std::size_t i = 0; i < count; ++i) {
-      servers.emplace_back(
-          context, ServerLimits{},
-          ServerHandlers{
-              [this](const ExchangePtr& exchange) {
-                callers.insert(exchange->client_address());
-                exchange->Send({200, {}, "x"});
-              },
-              [](RejectReason) { return JsonResponse(400, "{}"); }});
-      addresses.push_back(servers.back().Listen("127.0.0.1:0").value());
+      AddServer();
     }
   }
 
+  void AddServer() {
+    servers.emplace_back(
+        context, ServerLimits{},
+        ServerHandlers{[this](const ExchangePtr& exchange) {
+                         callers.insert(exchange->client_address());
+                         exchange->Send({200, {}, "x"});
+                       },
+                       [](RejectReason) { return JsonResponse(400, "{}"); }});
+    addresses.push_back(servers.back().Listen("127.0.0.1:0").value());
+  }
+
   void Fetch(std::size_t server) {
     bool done = false;
     client.Fetch(addresses.at(server), Post(), {}, [&](const auto& result) {
@@ -97,5 +100,34 @@
   CHECK(fleet.callers.size() == 4);
 }
 
+TEST_CASE("a thousand servers that come and go leave few connections") {
+  constexpr std::size_t kServers = 1'000;
+  ClientLimits limits;
+  limits.idle_connections = 25;
+  Fleet fleet(limits, 0);
+  for (std::size_t i = 0; i < kServers; ++i) {
+    fleet.AddServer();
+    fleet.Fetch(i);
+    CHECK(fleet.client.idle_connections() <= limits.idle_connections);
+    if (i % 2 == 0) {
+      fleet.servers.back().StopAccepting();  // its connections stay open
+    } else {
+      fleet.servers.back().CloseIdleConnections();
+    }
+  }
+}
+
+TEST_CASE("idle connections can be closed for others, the oldest first") {
+  Fleet fleet({}, 2);
+  CHECK_FALSE(fleet.client.CloseOldestIdle());
+  fleet.Fetch(0);
+  fleet.Fetch(1);
+  CHECK(fleet.client.CloseOldestIdle());
+  fleet.Fetch(1);
+  CHECK(fleet.callers.size() == 2);
+  fleet.Fetch(0);
+  CHECK(fleet.callers.size() == 3);
+}
+
 }  // namespace
 }  // namespace figwell::http
--- a/libs/telemetry/include/figwell/telemetry.h
+++ b/libs/telemetry/include/figwell/telemetry.h
@@ -38,6 +38,7 @@
   kReloaded = 1007,
   kReloadFailed = 1008,
   kUnexpectedError = 1009,
+  kDescriptorsShort = 1010,
   kDependencyLost = 1101,
   kDependencyRegained = 1102,
   kFollowingChanged = 1103,
--- a/libs/telemetry/src/event_catalogue.cc
+++ b/libs/telemetry/src/event_catalogue.cc
@@ -15,6 +15,7 @@
     EventInfo{Event::kReloaded, "reloaded", Level::kInfo},
     EventInfo{Event::kReloadFailed, "reload_failed", Level::kError},
     EventInfo{Event::kUnexpectedError, "unexpected_error", Level::kError},
+    EventInfo{Event::kDescriptorsShort, "descriptors_short", Level::kError},
     EventInfo{Event::kDependencyLost, "dependency_lost", Level::kWarning},
     EventInfo{Event::kDependencyRegained, "dependency_regained", Level::kInfo},
     EventInfo{Event::kFollowingChanged, "following_changed", Level::kInfo},
--- a/libs/telemetry/src/metric_catalogue.cc
+++ b/libs/telemetry/src/metric_catalogue.cc
@@ -59,6 +59,9 @@
     MetricInfo{"figwell_streams_taken_up_total", "counter",
                "Streams that callers took up, by whether the version that "
                "began them is known"},
+    MetricInfo{"figwell_descriptor_shortages_total", "counter",
+               "Connections that could not be accepted or made for lack of "
+               "descriptors, by operation"},
     MetricInfo{"figwell_streams_held_total", "counter",
                "Taken-up streams that waited until the store was complete "
                "after a restore"},
