Keep an adapter place, too, for a late order of unknown content

Cause: a load of unknown content stood for a model without a name, and only loads that name an adapter counted for adapter places.

Change: it takes the weights of the largest model and an adapter place, for all who keep room for such an order.

--- a/libs/serving/include/figwell/serving/engine_state.h
+++ b/libs/serving/include/figwell/serving/engine_state.h
@@ -32,7 +32,8 @@
   bool orderable = false;  ///< may be sent an order now
   /**
    * Loads that were sent to an earlier start of the server and may be executed
-   * by this one. Room is kept for them. An empty model stands for any.
+   * by this one. Room is kept for them. An empty model stands for any load:
+   * room is kept for the largest model and for an adapter.
    */
   std::vector<ModelTarget> late_loads;
 
--- a/libs/serving/src/replicas.cc
+++ b/libs/serving/src/replicas.cc
@@ -40,7 +40,9 @@
       }
     }
     for (const ModelTarget& late : server.late_loads) {
-      adapter_counts_[id] += late.adapter.empty() ? 0 : 1;
+      // One that is not known may be of an adapter, too.
+      adapter_counts_[id] +=
+          late.adapter.empty() && !late.model.empty() ? 0 : 1;
     }
     if (IsLoading(server) && !server.loading->empty()) {
       ++replica_counts_[*server.loading];
--- a/libs/serving/tests/replicas_test.cc
+++ b/libs/serving/tests/replicas_test.cc
@@ -151,6 +151,45 @@
   CHECK(PlanReplicas({engine, servers, demand, 2, true}).empty());
 }
 
+TEST_CASE("room is kept for a late load, of a model or an adapter") {
+  struct Case {
+    ModelTarget late;
+    bool keeps_model;
+    bool keeps_adapter;
+  };
+  for (const Case& late_load :
+       {Case{{}, true, true}, Case{{Model(1), ""}, true, false},
+        Case{{Model(0), "a9"}, false, true}}) {
+    EngineSpec engine = MakeEngine(4, 8);
+    engine.adapter_slots = 4;
+    auto servers = MakeServers({{0, 2}});
+    servers.at(Server(0)).models.at(Model(0)) = {"a1", "a2", "a3"};
+    servers.at(Server(0)).late_loads = {late_load.late};
+    Demand demand;
+    demand.work = {{Model(0), 900}, {Model(2), 900}, {Model(3), 900}};
+    demand.requests = {{{Model(0), "a4"}, 9.0}};
+    bool loads_model = false;
+    bool loads_adapter = false;
+    const auto plan = [&] {
+      for (const ReplicaMove& move :
+           PlanReplicas({engine, servers, demand, 2, true})) {
+        const bool load = move.action == OrderAction::kLoad;
+        loads_model =
+            loads_model || (load && move.target == ModelTarget{Model(3), ""});
+        loads_adapter = loads_adapter || (load && !move.target.adapter.empty());
+      }
+    };
+    plan();
+    // One move for each server and plan: the other kind without demand for it.
+    demand.work.erase(Model(3));
+    engine.models.erase(Model(3));
+    engine.models.erase(Model(1));
+    plan();
+    CHECK(loads_model != late_load.keeps_model);
+    CHECK(loads_adapter != late_load.keeps_adapter);
+  }
+}
+
 TEST_CASE("every adapter gets a slot, requested adapters first") {
   const EngineSpec engine = MakeEngine(1, 20);
   auto servers = MakeServers({{0}, {0}});
