An empty list of teams lets nobody pass

Cause: a route that is not open needed a key if the configuration had teams; an empty list of them was read like none.

Change: a configuration with a list requires keys, whatever is in it; without a list all routes are open, as the users' protocol has it. figwellctl check names routes that need no key but do in the other version.

--- a/apps/edge/request.cc
+++ b/apps/edge/request.cc
@@ -137,7 +137,7 @@
     team_ = team->id;
     return true;
   }
-  if (route_->open || !catalog_->has_teams()) {
+  if (route_->open || !catalog_->RequiresKeys()) {
     return true;
   }
   Refuse(serving::RefusalReason::kNoKey, std::nullopt,
--- a/apps/figwellctl/ctl/check.cc
+++ b/apps/figwellctl/ctl/check.cc
@@ -151,6 +151,8 @@
       return kCheckUnreadable;
     }
     result.differences = serving::CompareCatalogs(**other, **catalog);
+    const auto opened = serving::FindOpenedRoutes(**other, **catalog);
+    result.findings.insert(result.findings.end(), opened.begin(), opened.end());
   }
   if (options.json) {
     PrintJson(result, out);
--- a/libs/serving/include/figwell/serving/catalog.h
+++ b/libs/serving/include/figwell/serving/catalog.h
@@ -142,6 +142,8 @@
   std::map<ServiceId, ServiceSpec> services;
   std::map<TeamId, TeamSpec> teams;
   std::unordered_map<std::string, TeamId> team_of_key;
+  /** The configuration has teams, if only an empty list of them. */
+  bool has_team_list = false;
   CallerLimits limits;
 };
 
@@ -166,7 +168,14 @@
   /** The team that owns the API key; null if none. */
   const TeamSpec* FindTeamOfKey(const std::string& key) const;
   const ServiceSpec* FindService(const ServiceId& id) const;
-  bool has_teams() const { return !parts_.teams.empty(); }
+  /**
+   * Whether requests of routes that are not open need a team's key. A
+   * configuration with an empty list of teams lets nobody pass on them; one
+   * without a list opens all routes.
+   */
+  bool RequiresKeys() const {
+    return parts_.has_team_list || !parts_.teams.empty();
+  }
   /** The model of the service's engines; null if there is none. */
   const ModelSpec* FindModel(const ServiceId& service,
                              const ModelId& model) const;
--- a/libs/serving/include/figwell/serving/catalog_check.h
+++ b/libs/serving/include/figwell/serving/catalog_check.h
@@ -15,6 +15,7 @@
 enum class CatalogProblem {
   kNeverUsed,      ///< an entry that no request can reach
   kContradiction,  ///< values that cannot hold together
+  kOpened,         ///< a route that needs no key, and needs one now
 };
 
 std::string_view Name(CatalogProblem problem);
@@ -32,6 +33,9 @@
 
 /** Finds entries that are never used, and values that contradict each other. */
 std::vector<CatalogFinding> CheckCatalog(const Catalog& catalog);
+/** Finds routes of `after` that are open to all and are not in `before`. */
+std::vector<CatalogFinding> FindOpenedRoutes(const Catalog& before,
+                                             const Catalog& after);
 
 /** A value that differs between two configurations; empty where it is absent.
  */
--- a/libs/serving/src/catalog_check.cc
+++ b/libs/serving/src/catalog_check.cc
@@ -307,6 +307,8 @@
       return "never_used";
     case CatalogProblem::kContradiction:
       return "contradiction";
+    case CatalogProblem::kOpened:
+      return "opened";
   }
   return "unknown";
 }
@@ -315,6 +317,24 @@
   return Checker(catalog).Run();
 }
 
+std::vector<CatalogFinding> FindOpenedRoutes(const Catalog& before,
+                                             const Catalog& after) {
+  const auto is_open = [](const Catalog& catalog, const Route& route) {
+    return route.open || !catalog.RequiresKeys();
+  };
+  std::vector<CatalogFinding> findings;
+  for (const Route& route : after.routes()) {
+    const Route* former = before.FindRoute(route.host, route.path_prefix);
+    if (former != nullptr && is_open(after, route) &&
+        !is_open(before, *former)) {
+      findings.push_back(
+          {CatalogProblem::kOpened, PlaceOf(route),
+           "needs no key, but its requests need one in the other version"});
+    }
+  }
+  return findings;
+}
+
 std::vector<CatalogDifference> CompareCatalogs(const Catalog& before,
                                                const Catalog& after) {
   const Places old_places = PlacesOf(before);
