End answers to HEAD, and with 204 or 304, with their heads

Cause: the server's connection framed every answer as if it had a body.

Change: whether an answer may have a body follows from the request's method and the status, for whole and for streamed answers.

--- a/libs/http/src/connection.h
+++ b/libs/http/src/connection.h
@@ -83,6 +83,8 @@
   void OnReadable(ErrorCode error);
 
   void WriteResponse(Response response, bool keep_alive);
+  /** Whether an answer with this status ends with its head; RFC 9112, 6.3. */
+  bool EndsWithHead(int status) const;
   void WriteNextPiece();
   void OnPieceWritten(ErrorCode error);
   void OnAnswerWritten(ErrorCode error, bool keep_alive);
@@ -100,6 +102,9 @@
   Request request_;
   std::size_t counted_body_bytes_ = 0;
   bool request_keeps_alive_ = false;
+  bool is_head_request_ = false;
+  /** The answer that is being streamed ends with its head. */
+  bool streams_no_body_ = false;
   Phase phase_ = Phase::kReading;
   bool watching_for_close_ = false;
   bool writing_ = false;
--- a/libs/http/src/connection_read.cc
+++ b/libs/http/src/connection_read.cc
@@ -69,6 +69,7 @@
 
 void Connection::WaitForRequest() {
   phase_ = Phase::kReading;
+  is_head_request_ = false;
   if (buffer_.size() > 0) {
     ReadHead();
     return;
@@ -165,6 +166,7 @@
     return;
   }
   buffer_.consume(used);
+  is_head_request_ = parser_->get().method() == beast::http::verb::head;
   stream_.expires_after(shared_->limits.body_timeout);
   if (parser_->get().count("Expect") > 0 && !parser_->is_done()) {
     SendContinue();
--- a/libs/http/src/connection_write.cc
+++ b/libs/http/src/connection_write.cc
@@ -24,6 +24,17 @@
   message.keep_alive(keep_alive);
 }
 
+std::string HeadText(int status, const Headers& headers, bool keep_alive,
+                     bool chunked) {
+  StreamHead head;
+  head.result(static_cast<unsigned>(status));
+  SetHeaders(head, headers, keep_alive);
+  head.chunked(chunked);
+  std::ostringstream text;
+  text << head.base();
+  return text.str();
+}
+
 template <typename Buffers>
 std::string Flatten(const Buffers& buffers) {
   return beast::buffers_to_string(buffers);
@@ -31,6 +42,12 @@
 
 }  // namespace
 
+bool Connection::EndsWithHead(int status) const {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return is_head_request_ || status == kNoContent || status == kNotModified;
+}
+
 bool Connection::KeepAlive() const {
   return request_keeps_alive_ && !shared_->close_after_answers;
 }
@@ -42,13 +59,23 @@
 }
 
 void Connection::WriteResponse(Response response, bool keep_alive) {
+  phase_ = Phase::kFinishing;
+  stream_.expires_after(shared_->limits.write_timeout);
+  if (EndsWithHead(response.status)) {
+    frame_ = HeadText(response.status, response.headers, keep_alive,
+                      /*chunked=*/false);
+    asio::async_write(
+        stream_, asio::buffer(frame_),
+        [self = shared_from_this(), keep_alive](ErrorCode error, std::size_t) {
+          self->OnAnswerWritten(error, keep_alive);
+        });
+    return;
+  }
   auto message = std::make_shared<CompleteResponse>();
   message->result(static_cast<unsigned>(response.status));
   SetHeaders(*message, response.headers, keep_alive);
   message->body() = std::move(response.body);
   message->prepare_payload();
-  phase_ = Phase::kFinishing;
-  stream_.expires_after(shared_->limits.write_timeout);
   beast::http::async_write(stream_, *message,
                            [self = shared_from_this(), message, keep_alive](
                                ErrorCode error, std::size_t) {
@@ -61,13 +88,9 @@
     return;
   }
   phase_ = Phase::kStreaming;
-  StreamHead head;
-  head.result(static_cast<unsigned>(status));
-  SetHeaders(head, headers, KeepAlive());
-  head.chunked(true);
-  std::ostringstream text;
-  text << head.base();
-  pieces_.push_back({text.str(), false, nullptr});
+  streams_no_body_ = EndsWithHead(status);
+  pieces_.push_back({HeadText(status, headers, KeepAlive(), !streams_no_body_),
+                     false, nullptr});
   WriteNextPiece();
 }
 
@@ -79,9 +102,11 @@
     }
     return;
   }
-  pieces_.push_back({Flatten(beast::http::make_chunk(
-                         asio::const_buffer(asio::buffer(piece)))),
-                     false, std::move(on_written)});
+  std::string chunk = streams_no_body_
+                          ? std::string()
+                          : Flatten(beast::http::make_chunk(
+                                asio::const_buffer(asio::buffer(piece))));
+  pieces_.push_back({std::move(chunk), false, std::move(on_written)});
   WriteNextPiece();
 }
 
@@ -90,7 +115,9 @@
     return;
   }
   phase_ = Phase::kFinishing;
-  pieces_.push_back({Flatten(beast::http::make_chunk_last()), true, nullptr});
+  std::string end = streams_no_body_ ? std::string()
+                                     : Flatten(beast::http::make_chunk_last());
+  pieces_.push_back({std::move(end), true, nullptr});
   WriteNextPiece();
 }
 
