Destroy the state of a process after the requests that use it

What callers saw: nothing; they are cut off by then.

Cause: requests that waiting handlers hold are destroyed with the context, and take themselves out of the state, which was destroyed before it.

Change: the state is declared before the context, and so destroyed after it.

--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -167,10 +167,12 @@
   /** Sends the teams' spending and the known revisions, without loads. */
   void SendInterimStatus();
 
-  boost::asio::io_context context_;
   std::string settings_file_;
   std::filesystem::file_time_type settings_time_;
+  // Handlers that did not run are destroyed with the context, and requests that
+  // they hold use the state then.
   State state_;
+  boost::asio::io_context context_;
   std::uint64_t incarnation_;
   http::Client store_http_;
   http::Client server_http_;
