--- a/apps/edge/edge_view.cc
+++ b/apps/edge/edge_view.cc
@@ -407,11 +407,9 @@
   if (changed) {
     placement_.OnLeaderRecord(leader_record_);
   }
-  if (first) {
-    placement_.OnRecordsListed();
-  }
   peers_.SetRegistered(instances_);
   if (first) {
+    placement_.OnRecordsListed();
     past_.OnRecordsListed();
     versions_.OnRecordsListed();
     UpdateFleetSize(MonotonicNow());  // later changes are applied at each tick
--- a/libs/http/include/figwell/http.h
+++ b/libs/http/include/figwell/http.h
@@ -201,7 +201,10 @@
 
 struct ServerHandlers {
   std::function<void(ExchangePtr)> on_request;
-  /** Makes the answer to a refused request; may also count it. */
+  /**
+   * Makes the answer to a refused request; may also count it. Of connections
+   * far over their limit the answer is not sent.
+   */
   std::function<Response(RejectReason)> on_refuse;
   /**
    * A connection could not be accepted, for lack of descriptors; it waits and
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -81,6 +81,7 @@
 void Server::State::StartConnection(asio::ip::tcp::socket socket) {
   const std::size_t limit = shared->limits.connections;
   if (shared->open_connections >= limit + limit / kRefusedConnectionsDivisor) {
+    shared->handlers.on_refuse(RejectReason::kTooManyConnections);  // counts it
     return;
   }
   const auto connection =
