Ask for each service once whether it is saved, and join twins of this change

Cause: found on reading the whole change once more. AllSaved asked for each server whether its service is saved, and each answer goes over all servers: with thousands of them millions of steps in a status tick at the start. Giving up an idle connection on a shortage of descriptors stood in two of three callers.

Change: AllSaved goes over services, which Tick and it now collect in one place. OnDescriptorShortage closes the oldest idle connection itself. Behaviour and assertions are the same.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -178,7 +178,6 @@
                   return RejectionResponse(reason);
                 },
                 [this](const std::string& error) {
-                  server_http_.CloseOldestIdle();
                   OnDescriptorShortage("accept", error);
                 }}),
       ready_(context_, {},
@@ -197,14 +196,11 @@
       settings_timer_(context_),
       stop_timer_(context_),
       follower_selection_(settings.instance) {
-  server_http_.OnShortage([this](const std::string& error) {
-    OnDescriptorShortage("connect", error);
-  });
-  store_http_.OnShortage([this](const std::string& error) {
-    // An idle connection to a server gives its descriptor to the next attempt.
-    server_http_.CloseOldestIdle();
-    OnDescriptorShortage("connect", error);
-  });
+  for (http::Client* client : {&server_http_, &store_http_}) {
+    client->OnShortage([this](const std::string& error) {
+      OnDescriptorShortage("connect", error);
+    });
+  }
   state_.send_interim_status = [this] { SendInterimStatus(); };
   state_.catch_up_with_servers = [this](std::function<void(bool)> on_done) {
     CatchUpWithServers(std::move(on_done));
@@ -303,6 +299,7 @@
 void Edge::OnDescriptorShortage(std::string_view operation,
                                 const std::string& error) {
   const TimePoint now = MonotonicNow();
+  server_http_.CloseOldestIdle();
   descriptors_short_at_ = now;
   state_.metrics
       .GetCounter("figwell_descriptor_shortages_total",
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -37,7 +37,10 @@
   void OnReadyRequest(const http::ExchangePtr& exchange);
   void OnMetricsRequest(const http::ExchangePtr& exchange);
   bool Ready() const;
-  /** A connection could not be accepted or made for lack of descriptors. */
+  /**
+   * A connection could not be accepted or made for lack of descriptors: the
+   * oldest idle connection to a server gives its descriptor to the next try.
+   */
   void OnDescriptorShortage(std::string_view operation,
                             const std::string& error);
   void WaitForSignal();
--- a/apps/edge/version_driver.cc
+++ b/apps/edge/version_driver.cc
@@ -181,6 +181,14 @@
   }
 }
 
+std::set<ServiceId> VersionDriver::Services() const {
+  std::set<ServiceId> services;
+  for (const auto& [id, entry] : state_.directory.entries()) {
+    services.insert(entry.server.service);
+  }
+  return services;
+}
+
 std::set<serving::VersionHash> VersionDriver::Registered(
     const ServiceId& service) const {
   std::set<serving::VersionHash> versions;
@@ -217,12 +225,10 @@
     return;
   }
   last_tick_ = now;
-  std::set<ServiceId> services;
   for (const auto& [id, entry] : state_.directory.entries()) {
     OnServer(entry.server);
-    services.insert(entry.server.service);
   }
-  for (const ServiceId& service : services) {
+  for (const ServiceId& service : Services()) {
     SaveSoon(service);
   }
 }
@@ -236,9 +242,10 @@
 }
 
 bool VersionDriver::AllSaved() const {
+  const std::set<ServiceId> services = Services();
   return std::all_of(
-      state_.directory.entries().begin(), state_.directory.entries().end(),
-      [&](const auto& item) { return IsSaved(item.second.server.service); });
+      services.begin(), services.end(),
+      [this](const ServiceId& service) { return IsSaved(service); });
 }
 
 void VersionDriver::SaveSoon(const ServiceId& service) {
--- a/apps/edge/version_driver.h
+++ b/apps/edge/version_driver.h
@@ -70,6 +70,8 @@
   void AnnounceStreams(const ServiceId& service);
   void Announce(serving::VersionHash version,
                 const std::vector<serving::StreamHash>& streams);
+  /** The services of all servers in the registry. */
+  std::set<ServiceId> Services() const;
   /** The versions of a service's entries in the registry. */
   std::set<serving::VersionHash> Registered(const ServiceId& service) const;
   /** What the store's record is to be. */
--- a/libs/http/tests/exchange_test.cc
+++ b/libs/http/tests/exchange_test.cc
@@ -265,18 +265,20 @@
   }
 }
 
-TEST_CASE("interim answers are limited in number") {
+// How a call ends whose server sends these bytes.
+struct RawOutcome {
+  tl::expected<Response, ClientError> answer;
+  std::size_t idle_connections = 0;
+};
+
+RawOutcome FetchFrom(const std::string& bytes) {
   asio::io_context context;
   tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
   const std::string address = FormatEndpoint(acceptor.local_endpoint());
   std::shared_ptr<tcp::socket> served;
   acceptor.async_accept([&](boost::system::error_code, tcp::socket socket) {
     served = std::make_shared<tcp::socket>(std::move(socket));
-    std::string interim;
-    for (int i = 0; i < 1'000; ++i) {
-      interim += "HTTP/1.1 102 Wait\r\n\r\n";
-    }
-    asio::write(*served, asio::buffer(interim));
+    asio::write(*served, asio::buffer(bytes));
   });
   Client client(context, {});
   std::optional<tl::expected<Response, ClientError>> outcome;
@@ -285,8 +287,17 @@
   while (!outcome) {
     context.run_one();
   }
-  REQUIRE_FALSE(*outcome);
-  CHECK(outcome->error().stage == Stage::kHead);
+  return {std::move(*outcome), client.idle_connections()};
+}
+
+TEST_CASE("interim answers are limited in number") {
+  std::string interim;
+  for (int i = 0; i < 1'000; ++i) {
+    interim += "HTTP/1.1 102 Wait\r\n\r\n";
+  }
+  const RawOutcome outcome = FetchFrom(interim);
+  REQUIRE_FALSE(outcome.answer);
+  CHECK(outcome.answer.error().stage == Stage::kHead);
 }
 
 // What a connection gets that sends `request`, then a GET after which the
@@ -345,25 +356,11 @@
 TEST_CASE("a message with an invalid status is no answer") {
   for (const std::string status : {"000", "099", "600", "999"}) {
     CAPTURE(status);
-    asio::io_context context;
-    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-    const std::string address = FormatEndpoint(acceptor.local_endpoint());
-    std::shared_ptr<tcp::socket> served;
-    acceptor.async_accept([&](boost::system::error_code, tcp::socket socket) {
-      served = std::make_shared<tcp::socket>(std::move(socket));
-      asio::write(*served, asio::buffer("HTTP/1.1 " + status +
-                                        " No\r\nContent-Length: 2\r\n\r\nhi"));
-    });
-    Client client(context, {});
-    std::optional<tl::expected<Response, ClientError>> outcome;
-    client.Fetch(address, Post("x"), {},
-                 [&](auto result) { outcome = std::move(result); });
-    while (!outcome) {
-      context.run_one();
-    }
-    REQUIRE_FALSE(*outcome);
-    CHECK(outcome->error().stage == Stage::kHead);
-    CHECK(client.idle_connections() == 0);
+    const RawOutcome outcome =
+        FetchFrom("HTTP/1.1 " + status + " No\r\nContent-Length: 2\r\n\r\nhi");
+    REQUIRE_FALSE(outcome.answer);
+    CHECK(outcome.answer.error().stage == Stage::kHead);
+    CHECK(outcome.idle_connections == 0);
   }
 }
 
