Bound the connections of probes, and count refusals at every listener

Callers saw: no answer, or a time-out, while something opened connections to the listener for readiness or for metrics and closed none.

Cause: both listeners had the library's default of 4,096 connections each, more than a process may have descriptors, and neither reported a connection that it could not accept.

All listeners share one way to count refusals and shortages.

--- a/apps/edge/descriptors.h
+++ b/apps/edge/descriptors.h
@@ -14,6 +14,8 @@
 struct DescriptorShares {
   std::size_t caller_connections = 0;
   std::size_t idle_server_connections = 0;
+  /** Of the readiness listener, and of the metrics listener. */
+  std::size_t probe_connections = 0;
 
   friend bool operator==(const DescriptorShares&,
                          const DescriptorShares&) = default;
--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -97,6 +97,13 @@
   return limits;
 }
 
+// Limits on whoever asks whether the instance is ready, or for its metrics.
+http::ServerLimits ProbeLimits() {
+  http::ServerLimits limits;
+  limits.connections = ShareDescriptors(DescriptorLimit()).probe_connections;
+  return limits;
+}
+
 http::Response RejectionResponse(http::RejectReason reason) {
   constexpr int kBadRequest = 400;
   constexpr int kTooLarge = 413;
@@ -166,30 +173,17 @@
       instances_view_(context_, store_, state_.settings.store_prefix,
                       MaxWatchWait(state_.settings), InstancesCallbacks()),
       callers_(context_, LimitsFor({}),
-               {[this](http::ExchangePtr exchange) {
-                  OnCallerRequest(std::move(exchange));
-                },
-                [this](http::RejectReason reason) {
-                  state_.metrics
-                      .GetCounter(
-                          "figwell_rejected_messages_total",
-                          telemetry::Label("reason", http::Name(reason)))
-                      .Add();
-                  return RejectionResponse(reason);
-                },
-                [this](const std::string& error) {
-                  OnDescriptorShortage("accept", error);
-                }}),
-      ready_(context_, {},
-             {[this](const http::ExchangePtr& exchange) {
-                OnReadyRequest(exchange);
-              },
-              RejectionResponse}),
-      metrics_(context_, {},
-               {[this](const http::ExchangePtr& exchange) {
-                  OnMetricsRequest(exchange);
-                },
-                RejectionResponse}),
+               ListenerHandlers([this](http::ExchangePtr exchange) {
+                 OnCallerRequest(std::move(exchange));
+               })),
+      ready_(context_, ProbeLimits(),
+             ListenerHandlers([this](const http::ExchangePtr& exchange) {
+               OnReadyRequest(exchange);
+             })),
+      metrics_(context_, ProbeLimits(),
+               ListenerHandlers([this](const http::ExchangePtr& exchange) {
+                 OnMetricsRequest(exchange);
+               })),
       signals_(context_, SIGTERM, SIGINT, SIGHUP),
       status_timer_(context_),
       demand_timer_(context_),
@@ -219,6 +213,21 @@
   };
 }
 
+http::ServerHandlers Edge::ListenerHandlers(
+    std::function<void(http::ExchangePtr)> on_request) {
+  return {std::move(on_request),
+          [this](http::RejectReason reason) {
+            state_.metrics
+                .GetCounter("figwell_rejected_messages_total",
+                            telemetry::Label("reason", http::Name(reason)))
+                .Add();
+            return RejectionResponse(reason);
+          },
+          [this](const std::string& error) {
+            OnDescriptorShortage("accept", error);
+          }};
+}
+
 Result<void> Edge::Listen() {
   const auto listen = [](http::Server& server,
                          const std::string& address) -> Result<void> {
--- a/apps/edge/edge.h
+++ b/apps/edge/edge.h
@@ -29,6 +29,9 @@
 
  private:
   // edge.cc
+  /** Refusals and shortages are counted alike for all listeners. */
+  http::ServerHandlers ListenerHandlers(
+      std::function<void(http::ExchangePtr)> on_request);
   Result<void> Listen();
   /** Runs the event loop; an exception aborts only the handler that threw. */
   void RunUntilStopped();
--- a/libs/telemetry/src/metric_catalogue.cc
+++ b/libs/telemetry/src/metric_catalogue.cc
@@ -14,7 +14,8 @@
     MetricInfo{"figwell_retries_denied_total", "counter",
                "Attempts that did not follow a broken one, by reason"},
     MetricInfo{"figwell_rejected_messages_total", "counter",
-               "HTTP messages that could not be read, by reason"},
+               "HTTP messages that could not be parsed and connections over "
+               "their limit, at any listener, by reason"},
     MetricInfo{"figwell_peer_messages_dropped_total", "counter",
                "Peer messages that were dropped, by reason"},
     MetricInfo{"figwell_peer_bytes_total", "counter",
