Keep a place in the weight store's burst for loads that may begin late

More loads could begin at the weight store in five seconds than its limit allows.

Cause: a load whose order gets no answer counted for the rate when it was ordered. It may begin up to 15 s later, when its share of the rate has long been given to others.

Change: OrderTracker says at how many servers such a load may still begin, also for orders of other processes that are only suspected, and how many have begun late. As long as one may begin it takes a place in the burst, two at most, so that the usual rate goes on; when it has begun it counts again. placement_state has the number as late_store_loads.

--- a/apps/edge/placement_driver.cc
+++ b/apps/edge/placement_driver.cc
@@ -416,15 +416,20 @@
     servers.emplace(id, std::move(engine));
   }
   load_rate_limiter_.Configure(service.engine->loads_per_second);
+  for (int late = order_tracker_.TakeLateStoreLoads(); late > 0; --late) {
+    load_rate_limiter_.OnLoad(now);
+  }
+  const int allowed_loads = load_rate_limiter_.Allowed(
+      now, order_tracker_.ServersWithLateStoreLoads(now));
   const bool rebalance = now - last_rebalance_ >= kRebalanceInterval;
   forecast_.Update(now, TotalDemand(now));
   const serving::Demand demand = forecast_.Predict(ForecastHorizon(service));
   LogState(now, servers, demand);
   serving::ReplicaHistory& history = histories_[service.id];
   history.Update(now, servers, demand);
-  const auto moves = serving::PlanReplicas({*service.engine, servers, demand,
-                                            load_rate_limiter_.Allowed(now),
-                                            rebalance, &history, now});
+  const auto moves =
+      serving::PlanReplicas({*service.engine, servers, demand, allowed_loads,
+                             rebalance, &history, now});
   if (rebalance) {
     last_rebalance_ = now;
   }
@@ -468,11 +473,13 @@
     text += fmt::format("{}{}:{}+{}:{:.0f}", text.empty() ? "" : " ",
                         model.value(), ready, loading, work);
   }
-  telemetry::Log(Event::kPlacementState, {},
-                 {{"models", text},
-                  {"servers", std::to_string(servers.size())},
-                  {"orders_under_way",
-                   std::to_string(order_tracker_.OrdersInProgress())}});
+  telemetry::Log(
+      Event::kPlacementState, {},
+      {{"models", text},
+       {"servers", std::to_string(servers.size())},
+       {"orders_under_way", std::to_string(order_tracker_.OrdersInProgress())},
+       {"late_store_loads",
+        std::to_string(order_tracker_.ServersWithLateStoreLoads(now))}});
 }
 
 }  // namespace figwell::edge
--- a/libs/serving/include/figwell/serving/order_tracker.h
+++ b/libs/serving/include/figwell/serving/order_tracker.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "figwell/core.h"
@@ -125,6 +126,13 @@
   void ForgetSuspectedLoads();
   /** Servers at which room is kept for late loads. */
   int ServersWithLateLoads(TimePoint now) const;
+  /**
+   * Servers that may yet begin to load weights from the weight store for an
+   * order that they have not answered in time.
+   */
+  int ServersWithLateStoreLoads(TimePoint now) const;
+  /** Late loads from the weight store that reports have shown since. */
+  int TakeLateStoreLoads() { return std::exchange(late_store_loads_, 0); }
 
   /** Whether the server's report should be requested now. */
   bool NeedsReport(TimePoint now, const ServerId& server) const;
@@ -202,6 +210,8 @@
     bool to_earlier_start = false;
     /** It is not known whether there was an earlier start. */
     bool suspected = false;
+    /** It loads weights that the server did not have at hand. */
+    bool from_weight_store = false;
   };
 
   static bool IsSuspected(const UnansweredOrder& unanswered) {
@@ -211,6 +221,10 @@
                       bool suspected);
   void DropSuspectedLoads(const ServerId& server);
   void MarkEarlierStart(const ServerId& server);
+  /** @param accepted orders that the server has accepted at least */
+  static bool MayBeExecuted(TimePoint now, const UnansweredOrder& unanswered,
+                            std::int64_t accepted);
+  bool HasLateStoreLoad(TimePoint now, const ServerId& server) const;
   /** Loads that the server's current start may execute late. */
   std::vector<ModelTarget> LateLoads(TimePoint now,
                                      const ServerId& server) const;
@@ -220,18 +234,23 @@
 
   std::map<ServerId, State> states_;
   std::map<ServerId, std::vector<UnansweredOrder>> unanswered_;
+  int late_store_loads_ = 0;
 };
 
 /**
  * Limits the rate of loads from the weight store. A new leader does not know
- * which loads its predecessor started, so it starts with no loads allowed.
+ * which loads its predecessor started, so it starts with no loads allowed. A
+ * load that may begin late is expected to begin together with those that are
+ * ordered next: as many fewer of these may start in a burst.
  */
 class LoadRateLimiter {
  public:
   void Configure(double loads_per_second);
   /** Starts over with no loads allowed. */
   void Reset(TimePoint now);
-  int Allowed(TimePoint now);
+  /** @param late_loads that may begin at any time; they never stop others */
+  int Allowed(TimePoint now, int late_loads);
+  /** A load was ordered, or one has begun late. */
   void OnLoad(TimePoint now);
 
  private:
--- a/libs/serving/src/order_tracker.cc
+++ b/libs/serving/src/order_tracker.cc
@@ -50,7 +50,10 @@
   return "unknown";
 }
 
-void OrderTracker::Clear() { states_.clear(); }
+void OrderTracker::Clear() {
+  states_.clear();
+  late_store_loads_ = 0;
+}
 
 void OrderTracker::RemoveServer(const ServerId& server) {
   states_.erase(server);
@@ -83,7 +86,8 @@
   DropExpiredOrders(now);
   const Order unknown{
       server, OrderAction::kLoad, {}, std::numeric_limits<std::int64_t>::max()};
-  unanswered_[server].push_back({unknown, sent_at, true, suspected});
+  unanswered_[server].push_back({unknown, sent_at, /*to_earlier_start=*/true,
+                                 suspected, /*from_weight_store=*/true});
 }
 
 void OrderTracker::DropSuspectedLoads(const ServerId& server) {
@@ -112,18 +116,50 @@
     return loads;
   }
   const EngineView* view = Find(server);
+  const std::int64_t accepted = view == nullptr ? 0 : view->accepted;
   for (const UnansweredOrder& unanswered : found->second) {
     const Order& order = unanswered.order;
-    const bool possible = unanswered.to_earlier_start &&
-                          now < unanswered.sent_at + kMaxOrderDelay &&
-                          (view == nullptr || view->accepted <= order.expected);
-    if (possible && order.action == OrderAction::kLoad) {
+    if (unanswered.to_earlier_start &&
+        MayBeExecuted(now, unanswered, accepted) &&
+        order.action == OrderAction::kLoad) {
       loads.push_back(order.target);
     }
   }
   return loads;
 }
 
+bool OrderTracker::MayBeExecuted(TimePoint now,
+                                 const UnansweredOrder& unanswered,
+                                 std::int64_t accepted) {
+  return now < unanswered.sent_at + kMaxOrderDelay &&
+         accepted <= unanswered.order.expected;
+}
+
+bool OrderTracker::HasLateStoreLoad(TimePoint now,
+                                    const ServerId& server) const {
+  const auto found = unanswered_.find(server);
+  if (found == unanswered_.end()) {
+    return false;
+  }
+  const auto known = states_.find(server);
+  static const State kNoReport{};
+  const State& state = known == states_.end() ? kNoReport : known->second;
+  return std::any_of(found->second.begin(), found->second.end(),
+                     [&](const UnansweredOrder& unanswered) {
+                       // An order is not late while its answer may still come.
+                       return unanswered.from_weight_store &&
+                              unanswered.order != state.sent_order &&
+                              MayBeExecuted(now, unanswered,
+                                            state.view.accepted);
+                     });
+}
+
+int OrderTracker::ServersWithLateStoreLoads(TimePoint now) const {
+  return static_cast<int>(std::count_if(
+      unanswered_.begin(), unanswered_.end(),
+      [&](const auto& item) { return HasLateStoreLoad(now, item.first); }));
+}
+
 void OrderTracker::RemoveAnswered(const Order& order) {
   const auto found = unanswered_.find(order.server);
   if (found == unanswered_.end()) {
@@ -192,6 +228,7 @@
   if (HeldCount(report.models) > report.accepted) {
     DropSuspectedLoads(server);
   }
+  const bool expected_late_load = HasLateStoreLoad(now, server);
   const std::optional<ModelId> was_loading = state.view.loading;
   const auto unconfirmed_order =
       std::exchange(state.unconfirmed_order, std::nullopt);
@@ -199,6 +236,9 @@
   state.is_suspect = false;
   state.reported_at = now;
   state.view.accepted = report.accepted;
+  if (expected_late_load && !HasLateStoreLoad(now, server)) {
+    ++late_store_loads_;
+  }
   state.view.models = report.models;
   for (const ModelTarget& target : report.pending) {
     state.view.models[target.model].insert(target.adapter);
@@ -302,7 +342,11 @@
   state.sent_order = order;
   state.order_changed_at = now;
   DropExpiredOrders(now);
-  unanswered_[server].push_back({order, now, false});
+  const bool from_weight_store =
+      action == OrderAction::kLoad && target.adapter.empty() &&
+      !state.view.local_weights.contains(target.model);
+  unanswered_[server].push_back({order, now, /*to_earlier_start=*/false,
+                                 /*suspected=*/false, from_weight_store});
   return order;
 }
 
@@ -404,12 +448,13 @@
   }
 }
 
-int LoadRateLimiter::Allowed(TimePoint now) {
+int LoadRateLimiter::Allowed(TimePoint now, int late_loads) {
   if (loads_per_second_ <= 0) {
     return static_cast<int>(kMaxBurstLoads);
   }
   Refill(now);
-  return static_cast<int>(allowance_);
+  const double reserved = std::min<double>(late_loads, kMaxBurstLoads - 1);
+  return std::max(0, static_cast<int>(allowance_ - reserved));
 }
 
 void LoadRateLimiter::OnLoad(TimePoint now) {
--- a/libs/serving/tests/order_tracker_test.cc
+++ b/libs/serving/tests/order_tracker_test.cc
@@ -187,12 +187,12 @@
   LoadRateLimiter limiter;
   limiter.Configure(2.1);
   limiter.Reset(At(0));
-  CHECK(limiter.Allowed(At(0)) == 0);
+  CHECK(limiter.Allowed(At(0), 0) == 0);
   int loads = 0;
   int max_in_window = 0;
   std::vector<std::int64_t> start_times;
   for (std::int64_t ms = 0; ms < 30'000; ms += 50) {
-    while (limiter.Allowed(At(ms)) > 0) {
+    while (limiter.Allowed(At(ms), 0) > 0) {
       limiter.OnLoad(At(ms));
       start_times.push_back(ms);
       ++loads;
@@ -241,6 +241,53 @@
   CHECK(KeepsRoom(tracker, At(600)));
 }
 
+TEST_CASE("a load without an answer counts as late until it cannot begin") {
+  OrderTracker tracker;
+  tracker.OnReport(At(600), kServer, MakeReport(3));
+  const ModelTarget other{ModelId("n"), ""};
+  const Order order =
+      tracker.Begin(At(600), kServer, OrderAction::kLoad, other);
+  CHECK(tracker.ServersWithLateStoreLoads(At(700)) == 0);
+  tracker.OnOutcome(At(900), order, OrderOutcome::kUnknown, Duration{0});
+  CHECK(tracker.ServersWithLateStoreLoads(At(900)) == 1);
+  SECTION("it has not begun") {
+    tracker.OnReport(At(1'500), kServer, MakeReport(3));
+    CHECK(tracker.ServersWithLateStoreLoads(At(1'500)) == 1);
+    CHECK(tracker.TakeLateStoreLoads() == 0);
+  }
+  SECTION("it has begun") {
+    tracker.OnReport(At(1'500), kServer, MakeReport(4, true));
+    CHECK(tracker.ServersWithLateStoreLoads(At(1'500)) == 0);
+    CHECK(tracker.TakeLateStoreLoads() == 1);
+    CHECK(tracker.TakeLateStoreLoads() == 0);
+  }
+  SECTION("another order was accepted in its place") {
+    tracker.OnReport(At(1'500), kServer, MakeReport(3));
+    const Order next =
+        tracker.Begin(At(1'600), kServer, OrderAction::kUnload, kModel);
+    tracker.OnOutcome(At(1'610), next, OrderOutcome::kAccepted,
+                      milliseconds(10));
+    CHECK(tracker.ServersWithLateStoreLoads(At(1'610)) == 0);
+    tracker.OnReport(At(2'200), kServer, MakeReport(4));
+    CHECK(tracker.TakeLateStoreLoads() == 0);
+  }
+  SECTION("the time for it is over") {
+    const TimePoint end = At(600) + OrderTracker::kMaxOrderDelay;
+    CHECK(tracker.ServersWithLateStoreLoads(end - Duration(1)) == 1);
+    CHECK(tracker.ServersWithLateStoreLoads(end) == 0);
+  }
+}
+
+TEST_CASE("late loads take the places of others in a burst, not of all") {
+  LoadRateLimiter limiter;
+  limiter.Configure(2.1);
+  limiter.Reset(At(0));
+  CHECK(limiter.Allowed(At(10'000), 0) == 3);
+  CHECK(limiter.Allowed(At(10'000), 1) == 2);
+  CHECK(limiter.Allowed(At(10'000), 2) == 1);
+  CHECK(limiter.Allowed(At(10'000), 40) == 1);
+}
+
 TEST_CASE("a report is of the registered start unless it states another") {
   EngineReport report = MakeReport(0);
   CHECK(report.IsOfStart(1'700));
--- a/libs/serving/tests/oversubscription_test.cc
+++ b/libs/serving/tests/oversubscription_test.cc
@@ -110,7 +110,7 @@
     const Demand demand = forecast_.Predict(load_time_);
     history_.Update(now, servers, demand);
     for (const ReplicaMove& move :
-         PlanReplicas({engine_, servers, demand, limiter_.Allowed(now), true,
+         PlanReplicas({engine_, servers, demand, limiter_.Allowed(now, 0), true,
                        &history_, now})) {
       if (move.action == OrderAction::kUnload) {
         model_slots_.at(move.server).model.reset();
@@ -123,7 +123,7 @@
   /** The baseline: a missing model replaces the least recently used one. */
   void PlanLeastRecentlyUsed(TimePoint now) {
     for (const auto& waiting : waiting_) {
-      if (IsHeldOrLoading(waiting.model) || limiter_.Allowed(now) <= 0) {
+      if (IsHeldOrLoading(waiting.model) || limiter_.Allowed(now, 0) <= 0) {
         continue;
       }
       const ServerId* least_recent = nullptr;
