Start the processes of tests in sessions of their own

Cause: in a run in the background whose shell ends, the run's process group is orphaned, and so are those of its children.

--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -88,7 +88,10 @@
         self.argv = argv
         self.log_path = folder / f"{name}.log"
         with open(self.log_path, "ab") as log:
-            self.popen = subprocess.Popen(argv, stdout=log, stderr=log, cwd=folder)
+            # A session of its own: see Process in platform/soak/fleet.py.
+            self.popen = subprocess.Popen(
+                argv, stdout=log, stderr=log, cwd=folder, start_new_session=True
+            )
 
     def log(self):
         return self.log_path.read_text(errors="replace")
