--- a/libs/serving/src/order_tracker.cc
+++ b/libs/serving/src/order_tracker.cc
@@ -141,16 +141,18 @@
   if (found == unanswered_.end()) {
     return false;
   }
-  const auto known = states_.find(server);
-  static const State kNoReport{};
-  const State& state = known == states_.end() ? kNoReport : known->second;
+  std::int64_t accepted = 0;
+  // An order is not late while its answer may still come.
+  std::optional<Order> awaited;
+  if (const auto known = states_.find(server); known != states_.end()) {
+    accepted = known->second.view.accepted;
+    awaited = known->second.sent_order;
+  }
   return std::any_of(found->second.begin(), found->second.end(),
                      [&](const UnansweredOrder& unanswered) {
-                       // An order is not late while its answer may still come.
                        return unanswered.from_weight_store &&
-                              unanswered.order != state.sent_order &&
-                              MayBeExecuted(now, unanswered,
-                                            state.view.accepted);
+                              unanswered.order != awaited &&
+                              MayBeExecuted(now, unanswered, accepted);
                      });
 }
 
