Say in one place which loads take weights from the weight store

Cause: on rereading, OrderTracker had the rule that PlacementDriver had twice, and two loops charged late loads one by one. Change: EngineView::LoadsFromStore serves all three, LoadRateLimiter::OnLoads takes a number. Behaviour and assertions as before.

--- a/apps/edge/placement_driver.cc
+++ b/apps/edge/placement_driver.cc
@@ -416,9 +416,7 @@
     servers.emplace(id, std::move(engine));
   }
   load_rate_limiter_.Configure(service.engine->loads_per_second);
-  for (int late = order_tracker_.TakeLateStoreLoads(); late > 0; --late) {
-    load_rate_limiter_.OnLoad(now);
-  }
+  load_rate_limiter_.OnLoads(now, order_tracker_.TakeLateStoreLoads());
   const int allowed_loads = load_rate_limiter_.Allowed(
       now, order_tracker_.ServersWithLateStoreLoads(now));
   const bool rebalance = now - last_rebalance_ >= kRebalanceInterval;
--- a/apps/edge/placement_orders.cc
+++ b/apps/edge/placement_orders.cc
@@ -33,11 +33,8 @@
     return;
   }
   const serving::EngineView* view = order_tracker_.Find(move.server);
-  const bool from_weight_store =
-      move.target.adapter.empty() && view != nullptr &&
-      !view->local_weights.contains(move.target.model);
-  if (from_weight_store) {
-    load_rate_limiter_.OnLoad(now);
+  if (view != nullptr && view->LoadsFromStore(move.target)) {
+    load_rate_limiter_.OnLoads(now, 1);
   }
   SendOrder(now, move);
 }
@@ -115,9 +112,8 @@
     return kAdapterLoadTime;
   }
   const serving::EngineView* view = order_tracker_.Find(order.server);
-  const bool local_weights =
-      view != nullptr && view->local_weights.contains(order.target.model);
-  return local_weights ? model->memory_load_time : model->load_time;
+  const bool from_store = view == nullptr || view->LoadsFromStore(order.target);
+  return from_store ? model->load_time : model->memory_load_time;
 }
 
 void PlacementDriver::OnOrderResponse(
--- a/libs/serving/include/figwell/serving/order_tracker.h
+++ b/libs/serving/include/figwell/serving/order_tracker.h
@@ -85,6 +85,11 @@
   TimePoint expected_end;  ///< when that order should have ended
   std::int64_t accepted = 0;
 
+  /** Whether a load of the target takes its weights from the weight store. */
+  bool LoadsFromStore(const ModelTarget& target) const {
+    return target.adapter.empty() && !local_weights.contains(target.model);
+  }
+
   friend bool operator==(const EngineView&, const EngineView&) = default;
 };
 
@@ -250,8 +255,8 @@
   void Reset(TimePoint now);
   /** @param late_loads that may begin at any time; they never stop others */
   int Allowed(TimePoint now, int late_loads);
-  /** A load was ordered, or one has begun late. */
-  void OnLoad(TimePoint now);
+  /** Loads were ordered, or have begun late. */
+  void OnLoads(TimePoint now, int count);
 
  private:
   void Refill(TimePoint now);
--- a/libs/serving/src/order_tracker.cc
+++ b/libs/serving/src/order_tracker.cc
@@ -345,8 +345,7 @@
   state.order_changed_at = now;
   DropExpiredOrders(now);
   const bool from_weight_store =
-      action == OrderAction::kLoad && target.adapter.empty() &&
-      !state.view.local_weights.contains(target.model);
+      action == OrderAction::kLoad && state.view.LoadsFromStore(target);
   unanswered_[server].push_back({order, now, /*to_earlier_start=*/false,
                                  /*suspected=*/false, from_weight_store});
   return order;
@@ -459,9 +458,11 @@
   return std::max(0, static_cast<int>(allowance_ - reserved));
 }
 
-void LoadRateLimiter::OnLoad(TimePoint now) {
-  Refill(now);
-  allowance_ -= 1;
+void LoadRateLimiter::OnLoads(TimePoint now, int count) {
+  if (count > 0) {
+    Refill(now);
+    allowance_ -= count;
+  }
 }
 
 }  // namespace figwell::serving
--- a/libs/serving/tests/late_store_loads_test.cc
+++ b/libs/serving/tests/late_store_loads_test.cc
@@ -61,9 +61,7 @@
       }
       orders_.DeliverResponses(now_, tracker_);
       ReadReports();
-      for (int late = tracker_.TakeLateStoreLoads(); late > 0; --late) {
-        limiter_.OnLoad(now_);
-      }
+      limiter_.OnLoads(now_, tracker_.TakeLateStoreLoads());
       if (now_.time_since_epoch() % kPause < kBusy) {
         OrderLoads();
       }
@@ -105,7 +103,7 @@
       const ServerId id = Server((first + i) % kServers);
       if (tracker_.FindOrderable(now_, id) != nullptr) {
         --allowed;
-        limiter_.OnLoad(now_);
+        limiter_.OnLoads(now_, 1);
         const Order order = tracker_.Begin(now_, id, OrderAction::kLoad,
                                            {Model(next_model_++), {}});
         orders_.Send(now_, order, random_, engines_[id]);
--- a/libs/serving/tests/order_tracker_test.cc
+++ b/libs/serving/tests/order_tracker_test.cc
@@ -193,7 +193,7 @@
   std::vector<std::int64_t> start_times;
   for (std::int64_t ms = 0; ms < 30'000; ms += 50) {
     while (limiter.Allowed(At(ms), 0) > 0) {
-      limiter.OnLoad(At(ms));
+      limiter.OnLoads(At(ms), 1);
       start_times.push_back(ms);
       ++loads;
     }
--- a/libs/serving/tests/oversubscription_test.cc
+++ b/libs/serving/tests/oversubscription_test.cc
@@ -166,7 +166,7 @@
     ModelSlot& model_slot = model_slots_.at(server);
     model_slot.loading = model;
     model_slot.loaded_at = now + load_time_;
-    limiter_.OnLoad(now);
+    limiter_.OnLoads(now, 1);
     ++results_.loads;
   }
 
