Move the reading of servers' reports to a file of its own

Change: ReadReports, ReadReport and what only they use are in placement_reports.cc, as orders are in placement_orders.cc. Nothing else.

--- a/apps/edge/placement_driver.cc
+++ b/apps/edge/placement_driver.cc
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 
-#include "server_state.h"
-
 namespace figwell::edge {
 namespace {
 
@@ -16,18 +14,12 @@
 // The pause after a tick is at least this many times as long as the tick took,
 // so that planning for a large fleet leaves most of the thread to requests.
 constexpr int kMinPauseToTickRatio = 5;
-// Reports that are read at the same time; each takes a connection.
-constexpr std::size_t kMaxConcurrentReports = 64;
 // Instances try to take a free leader key after a random delay, so that most of
 // them see in time that another has it. Instances that do not follow the store
 // learn of changes late; they wait longer and let the followers try first.
 constexpr Duration kTakeoverJitterPerInstance = milliseconds(10);
 constexpr Duration kNonFollowerTakeoverDelay = milliseconds(1'000);
 constexpr Duration kMaxTakeoverJitter = milliseconds(500);
-constexpr milliseconds kReportTimeout{600};
-constexpr Duration kReportRetryInterval = milliseconds(400);
-// A server whose report breaks off or does not end would take up the link.
-constexpr Duration kExcessiveReportRetryInterval = milliseconds(3'000);
 // Replicas are added or removed for demand at most this often.
 constexpr Duration kRebalanceInterval = milliseconds(400);
 // A peer's demand is counted for this long after its last report.
@@ -58,20 +50,6 @@
   return milliseconds(now_ms - server.started_ms);
 }
 
-Result<serving::EngineReport> ReportOfStart(
-    std::int64_t started_ms,
-    const tl::expected<http::Response, http::ClientError>& response) {
-  if (!response) {
-    return Fail(ErrorCode::kUnavailable, response.error().message);
-  }
-  auto report = adapter::DecodeReport(*response);
-  if (report && !report->IsOfStart(started_ms)) {
-    return Fail(ErrorCode::kUnavailable,
-                "the report is of another start than the registry entry");
-  }
-  return report;
-}
-
 }  // namespace
 
 PlacementDriver::PlacementDriver(State& state, adapter::StoreClient& store,
@@ -313,7 +291,7 @@
   return total;
 }
 
-// ------------------------------------------------------------------ reports
+// ------------------------------------------------------------------ servers
 
 void PlacementDriver::OnServerChange(const ServerId& server,
                                      serving::ServerChange change) {
@@ -344,53 +322,6 @@
   }
 }
 
-void PlacementDriver::ReadReports(TimePoint now, const ServiceId& service) {
-  for (const serving::BackendServer* server : serving::PlacementServers(
-           now, state_.directory, service, state_.balancer.limits())) {
-    const ServerId& id = server->id;
-    if (reports_in_flight_ >= kMaxConcurrentReports) {
-      return;
-    }
-    if (permits_.MayCall(now, id) && order_tracker_.NeedsReport(now, id)) {
-      order_tracker_.OnReportRequested(now, id);
-      permits_.OnInternalCall(now, id);
-      ReadReport(*server);
-    }
-  }
-}
-
-void PlacementDriver::ReadReport(const serving::BackendServer& server) {
-  const http::CallLimits limits = InternalCallLimits(kReportTimeout);
-  ++reports_in_flight_;
-  client_.Fetch(
-      server.address, adapter::MakeReportRequest(server.id), limits,
-      [this, id = server.id, started_ms = server.started_ms,
-       sent = MonotonicNow()](
-          const tl::expected<http::Response, http::ClientError>& response) {
-        const TimePoint now = MonotonicNow();
-        --reports_in_flight_;
-        if (response) {
-          ApplyServerState(state_, {id, started_ms, sent, {}}, *response);
-        }
-        const auto report = ReportOfStart(started_ms, response);
-        if (!report) {
-          const bool body_failed =
-              !response && response.error().stage == http::Stage::kBody;
-          order_tracker_.OnReportFailed(now, id,
-                                        body_failed
-                                            ? kExcessiveReportRetryInterval
-                                            : kReportRetryInterval);
-          telemetry::Log(Event::kServerUnreachable, report.error().message,
-                         {{"server", id.value()}});
-          return;
-        }
-        if (const auto held = order_tracker_.OnReport(now, id, *report)) {
-          Announce(id, *held, true);
-        }
-      },
-      adapter::MayAnswerInternalCall);
-}
-
 // ----------------------------------------------------------------- planning
 
 void PlacementDriver::Plan(TimePoint now, const serving::ServiceSpec& service) {
--- a/apps/edge/placement_driver.h
+++ b/apps/edge/placement_driver.h
@@ -61,6 +61,7 @@
     serving::ReplicaMove move;
   };
 
+  // placement_driver.cc
   void Tick();
   void TickLease(TimePoint now);
   void Execute(const serving::GrantLease& action);
@@ -76,8 +77,6 @@
   /** Keeps room for orders of others to a former start of the server. */
   void ExpectLateLoad(TimePoint now, const ServerId& server,
                       serving::ServerChange change);
-  void ReadReports(TimePoint now, const ServiceId& service);
-  void ReadReport(const serving::BackendServer& server);
   void Plan(TimePoint now, const serving::ServiceSpec& service);
   /** How far ahead demand is forecast: the longest load time of a model. */
   Duration ForecastHorizon(const serving::ServiceSpec& service) const;
@@ -85,6 +84,12 @@
                 const std::map<ServerId, serving::EngineState>& servers,
                 const serving::Demand& demand);
   serving::Demand TotalDemand(TimePoint now);
+
+  // placement_reports.cc
+  void ReadReports(TimePoint now, const ServiceId& service);
+  void ReadReport(const serving::BackendServer& server);
+
+  // placement_orders.cc
   void Execute(TimePoint now, const serving::ReplicaMove& move);
   void SendDueUnloads(TimePoint now);
   /** @return whether the order was sent; false if it may not be sent now */
