Move the limits of HTTP connections out of edge.cc

Change: http_limits.{h,cc} has them as they were; LimitsFor, now seen by others, is called LimitsOnCallers.

--- a/apps/edge/edge.cc
+++ b/apps/edge/edge.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 
 #include "descriptors.h"
+#include "http_limits.h"
 
 namespace figwell::edge {
 namespace {
@@ -29,44 +30,11 @@
 // The store usually answers within milliseconds, and takes up to a hundred
 // times as long while it is slow.
 constexpr milliseconds kStoreTimeout{1'500};
-constexpr milliseconds kStoreConnectTimeout{500};
-// A server's machine accepts a new connection within a round trip.
-constexpr milliseconds kServerConnectTimeout{300};
-// A live machine acknowledges bytes within a round trip; one that lost power or
-// is behind a network partition never does.
-constexpr milliseconds kServerAckTimeout{900};
-constexpr milliseconds kStoreAckTimeout{2'000};
-// Long enough for packet loss on callers' links, short enough that a caller's
-// dead machine does not keep a request alive for long.
-constexpr milliseconds kCallerAckTimeout{5'000};
-constexpr std::size_t kMaxIdleConnectionsPerServer = 48;
-constexpr milliseconds kIdleServerTimeout{20'000};
-constexpr milliseconds kIdleStoreTimeout{30'000};
-constexpr milliseconds kCallerWriteTimeout{5'000};
 // An instance is not ready for this long after a descriptor was missing: longer
 // than the pause between attempts to accept a connection.
 constexpr Duration kShortageTime = milliseconds(1'000);
 constexpr Duration kShortageLogInterval = milliseconds(5'000);
 
-http::ClientLimits StoreLimits() {
-  http::ClientLimits limits;
-  limits.connect_timeout = kStoreConnectTimeout;
-  limits.idle_timeout = kIdleStoreTimeout;
-  limits.peer_timeout = kStoreAckTimeout;
-  return limits;
-}
-
-http::ClientLimits ServerLimits() {
-  http::ClientLimits limits;
-  limits.connect_timeout = kServerConnectTimeout;
-  limits.idle_connections_per_address = kMaxIdleConnectionsPerServer;
-  limits.idle_connections =
-      ShareDescriptors(DescriptorLimit()).idle_server_connections;
-  limits.idle_timeout = kIdleServerTimeout;
-  limits.peer_timeout = kServerAckTimeout;
-  return limits;
-}
-
 // Close to the longest wait that the store accepts. A watch that waits longer
 // than the store keeps its history may find its start revision compacted.
 milliseconds MaxWatchWait(const config::EdgeSettings& settings) {
@@ -81,29 +49,6 @@
   return std::min(settings.bounds.drain_notice, MaxWatchWait(settings));
 }
 
-// Limits on callers. The configuration states what callers may send; sizes and
-// times are enforced at twice that, so that only clear violations are refused.
-http::ServerLimits LimitsFor(const serving::CallerLimits& configured) {
-  constexpr int kEnforcedLimitFactor = 2;
-  http::ServerLimits limits;
-  limits.header_bytes = configured.head_bytes * kEnforcedLimitFactor;
-  limits.body_bytes = configured.body_bytes * kEnforcedLimitFactor;
-  limits.connections = ShareDescriptors(DescriptorLimit()).caller_connections;
-  limits.header_timeout = configured.head_timeout * kEnforcedLimitFactor;
-  // Callers reuse connections that were idle for only a fraction of this time.
-  limits.idle_timeout = configured.idle_timeout * kEnforcedLimitFactor;
-  limits.write_timeout = kCallerWriteTimeout;
-  limits.peer_timeout = kCallerAckTimeout;
-  return limits;
-}
-
-// Limits on whoever asks whether the instance is ready, or for its metrics.
-http::ServerLimits ProbeLimits() {
-  http::ServerLimits limits;
-  limits.connections = ShareDescriptors(DescriptorLimit()).probe_connections;
-  return limits;
-}
-
 http::Response RejectionResponse(http::RejectReason reason) {
   constexpr int kBadRequest = 400;
   constexpr int kTooLarge = 413;
@@ -172,7 +117,7 @@
                     ServersWatchWait(state_.settings), ServersCallbacks()),
       instances_view_(context_, store_, state_.settings.store_prefix,
                       MaxWatchWait(state_.settings), InstancesCallbacks()),
-      callers_(context_, LimitsFor({}),
+      callers_(context_, LimitsOnCallers({}),
                ListenerHandlers([this](http::ExchangePtr exchange) {
                  OnCallerRequest(std::move(exchange));
                })),
@@ -288,7 +233,7 @@
 }
 
 void Edge::ApplyLimits(const serving::CallerLimits& configured) {
-  callers_.SetLimits(LimitsFor(configured));
+  callers_.SetLimits(LimitsOnCallers(configured));
 }
 
 void Edge::OnCallerRequest(http::ExchangePtr exchange) {
