Share the loopback of exchange tests, and give answers without a body a file

Cause: exchange_test.cc had grown to 581 lines, and idle_pool_test.cc had a Post of its own. Change: loopback.h has both; the test of answers that end with their head is in head_test.cc, its assertions unchanged.

--- a/libs/http/tests/exchange_test.cc
+++ b/libs/http/tests/exchange_test.cc
@@ -3,6 +3,7 @@
 #include "address.h"
 #include "figwell/http.h"
 #include "figwell/testing.h"
+#include "loopback.h"
 
 namespace figwell::http {
 namespace {
@@ -10,61 +11,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-// A server and a client on loopback, run by one thread.
-struct Loopback {
-  Loopback(ServerLimits limits, std::function<void(ExchangePtr)> on_request)
-      : server(context, limits,
-               {std::move(on_request),
-                [this](RejectReason reason) {
-                  refused.push_back(reason);
-                  return JsonResponse(400, "{}");
-                }}),
-        client(context, {}) {
-    address = server.Listen("127.0.0.1:0").value();
-  }
-
-  tl::expected<Response, ClientError> Fetch(const Request& request,
-                                            CallLimits limits = {}) {
-    std::optional<tl::expected<Response, ClientError>> outcome;
-    client.Fetch(address, request, limits,
-                 [&](auto result) { outcome = std::move(result); });
-    while (!outcome) {
-      context.run_one();
-    }
-    return *outcome;
-  }
-
-  // Sends raw bytes and reads until the server closes.
-  std::string SendRaw(const std::string& bytes) {
-    tcp::socket socket(context);
-    socket.connect(ParseEndpoint(address).value());
-    asio::write(socket, asio::buffer(bytes));
-    std::string answer;
-    bool done = false;
-    asio::async_read(
-        socket, asio::dynamic_buffer(answer),
-        [&](boost::system::error_code, std::size_t) { done = true; });
-    while (!done) {
-      context.run_one();
-    }
-    return answer;
-  }
-
-  asio::io_context context;
-  std::vector<RejectReason> refused;
-  Server server;
-  Client client;
-  std::string address;
-};
-
-Request Post(std::string body) {
-  Request request;
-  request.method = "POST";
-  request.target = "/echo?x=1";
-  request.body = std::move(body);
-  return request;
-}
-
 void Echo(const ExchangePtr& exchange) {
   exchange->Send({200, {}, exchange->request().body});
 }
@@ -300,59 +246,6 @@
   CHECK(outcome.answer.error().stage == Stage::kHead);
 }
 
-// What a connection gets that sends `request`, then a GET after which the
-// server closes.
-std::string AnswersTo(const std::string& request,
-                      const std::function<void(const ExchangePtr&)>& answer) {
-  Loopback loopback({}, [&](const ExchangePtr& exchange) {
-    if (exchange->request().target == "/last") {
-      exchange->Send({200, {}, "last"});
-    } else {
-      answer(exchange);
-    }
-  });
-  return loopback.SendRaw(
-      request + "GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-}
-
-// Whether nothing is between the first answer's head and the second one.
-bool EndsWithHead(const std::string& answers) {
-  const std::size_t end = answers.find("\r\n\r\n") + 4;
-  return answers.substr(end).starts_with("HTTP/1.1 200 OK\r\n") &&
-         answers.ends_with("\r\n\r\nlast");
-}
-
-TEST_CASE("an answer that may have no body ends with its head") {
-  struct Case {
-    std::string method;
-    int status;
-  };
-  for (const Case& each : {Case{"HEAD", 200}, Case{"HEAD", 503},
-                           Case{"GET", 204}, Case{"GET", 304}}) {
-    CAPTURE(each.method, each.status);
-    const std::string request = each.method + " / HTTP/1.1\r\nHost: h\r\n\r\n";
-    CHECK(EndsWithHead(AnswersTo(request, [&](const ExchangePtr& exchange) {
-      exchange->Send(JsonResponse(each.status, "{\"a\":1}"));
-    })));
-    int written = 0;
-    CHECK(EndsWithHead(AnswersTo(request, [&](const ExchangePtr& exchange) {
-      exchange->StartStream(each.status, {});
-      exchange->Write("piece", [&written, exchange](bool sent) {
-        written += sent ? 1 : 0;
-        exchange->Finish();
-      });
-    })));
-    CHECK(written == 1);
-  }
-  // The method of one request says nothing about the next.
-  const std::string both = AnswersTo(
-      "HEAD / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n",
-      [](const ExchangePtr& exchange) {
-        exchange->Send({200, {}, "body"});
-      });
-  CHECK(both.find("\r\n\r\nbodyHTTP/1.1 200 OK") != std::string::npos);
-}
-
 TEST_CASE("a message with an invalid status is no answer") {
   for (const std::string status : {"000", "099", "600", "999"}) {
     CAPTURE(status);
--- a/libs/http/tests/idle_pool_test.cc
+++ b/libs/http/tests/idle_pool_test.cc
@@ -1,25 +1,16 @@
 #include <boost/asio.hpp>
 #include <deque>
 
-#include "address.h"
 #include "figwell/http.h"
 #include "figwell/testing.h"
+#include "loopback.h"
 
 namespace figwell::http {
 namespace {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 using std::chrono::milliseconds;
 
-Request Post() {
-  Request request;
-  request.method = "POST";
-  request.target = std::string("/path");
-  request.body = std::string("body");
-  return request;
-}
-
 // A client and servers at addresses of their own, run by one thread.
 struct Fleet {
   Fleet(ClientLimits limits, std::size_t count) : client(context, limits) {
@@ -41,10 +32,11 @@
 
   void Fetch(std::size_t server) {
     bool done = false;
-    client.Fetch(addresses.at(server), Post(), {}, [&](const auto& result) {
-      CHECK(result);
-      done = true;
-    });
+    client.Fetch(addresses.at(server), Post("body"), {},
+                 [&](const auto& result) {
+                   CHECK(result);
+                   done = true;
+                 });
     RunUntil([&] { return done; });
   }
 
