--- a/review/lib3/rig.py
+++ b/review/lib3/rig.py
@@ -164,11 +164,14 @@
 
 
 class Store(Listener):
-    """The platform's metadata store."""
+    """The platform's metadata store; it keeps `history_s` of history."""
+
+    HISTORY_S = 20.0
 
     def __init__(self):
         self.changed = threading.Condition()
         self.revision, self.items, self.events = 10, {}, []
+        self.event_times, self.oldest = [], 0
         self.leases, self.last_lease = {}, 100
         super().__init__()
         threading.Thread(target=self._expire, daemon=True).start()
@@ -180,6 +183,14 @@
                 now = time.monotonic()
                 for lease in [i for i, (_, end) in self.leases.items() if end <= now]:
                     self._end(lease)
+                while self.event_times and self.event_times[0] < now - self.HISTORY_S:
+                    self.event_times.pop(0)
+                    self.oldest = self.events.pop(0)["revision"]
+
+    def _record(self, event):
+        self.events.append(event)
+        self.event_times.append(time.monotonic())
+        self.changed.notify_all()
 
     def _end(self, lease):
         self.leases.pop(lease, None)
@@ -189,8 +200,7 @@
     def _remove(self, key):
         if self.items.pop(key, None) is not None:
             self.revision += 1
-            self.events.append({"key": key, "revision": self.revision, "removed": True})
-            self.changed.notify_all()
+            self._record({"key": key, "revision": self.revision, "removed": True})
 
     def _put(self, key, value, lease):
         self.revision += 1
@@ -199,8 +209,7 @@
             "key": key, "value": value, "revision": self.revision,
             "created_rev": old["created_rev"] if old else self.revision, "lease": lease,
         }
-        self.events.append(self.items[key])
-        self.changed.notify_all()
+        self._record(self.items[key])
 
     def write(self, key, document):
         """A write of the operator or of a server."""
@@ -268,6 +277,8 @@
         end = time.monotonic() + int(query["wait_ms"]) / 1e3
         after, prefix = int(query["after"]), query["path_prefix"]
         while True:
+            if after < self.oldest:
+                return 410, {}
             found = [e for e in self.events
                      if e["revision"] > after and e["key"].startswith(prefix)]
             left = end - time.monotonic()
