--- a/review/13/run.py
+++ b/review/13/run.py
@@ -13,13 +13,10 @@
 ROUTES = 1400  # big_config
 STORM_S, GAP_S = 2.0, 0.08  # config_storm
 CUT_S = 5.5
-CONFIG_S, CONTACT_S = 3.0, 4.0  # of zagara-vend-grown
+CONFIG_S, CONTACT_S = 3.0, 4.0
 WATCHED_S = 8.0
 
 
-lib.BOUNDS["bounds.drain_ms"] = 3000
-
-
 def run(rig):
     record = rig.record
     server = lib.AppServer(rig.store, record, "i-desk-1", "desk", "palermo")
--- a/review/lib3/rig.py
+++ b/review/lib3/rig.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -24,14 +25,14 @@
 BINARY = os.path.join(ROOT, "target", "bin", "figwell-edge")
 TEMPLATE = os.path.join(ROOT, "deploy", "settings.yaml.in")
 
-# The bounds of the deployment "Rahnuma Licensing Desk" in SYSTEM.md.
+# The bounds on the sheet of zagara-vend-grown (LATER.md of demands).
 BOUNDS = {
     "bounds.lease_ms": 3000,
     "bounds.thaw_ms": 300,
     "bounds.retry_budget_ratio": 0.2,
     "bounds.budget_window_s": 10,
-    "bounds.budget_slack": 56,
-    "bounds.drain_ms": 2000,
+    "bounds.budget_slack": 158,
+    "bounds.drain_ms": 3000,
     "bounds.seed_lag_s": 3,
     "bounds.grace_s": 8,
     "platform.history_s": 20,
@@ -61,10 +62,23 @@
             self.file.flush()
 
 
+class Ports:
+    """Ports below the ephemeral ones; processes begin at different places."""
+
+    FIRST, COUNT = 10_000, 20_000
+    next = os.getpid() * 64 % COUNT
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = Ports.FIRST + Ports.next
+        Ports.next = (Ports.next + 1) % Ports.COUNT
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 class Closed(Exception):
@@ -432,6 +446,8 @@
 def main(case_folder, run):
     """Runs a case: `run(rig)` returns whether the rule was broken."""
     rig = None
+    # All processes are ended also if the case is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         rig = Rig(case_folder)
         broken = run(rig)
